--- /dev/null
+++ b/src/main/java/flintlead/Control.java
@@ -0,0 +1,928 @@
+package flintlead;
+
+import flintlead.port.Call;
+import flintlead.port.Deployment;
+import flintlead.port.Dispatcher;
+import flintlead.port.Gateway;
+import flintlead.port.Handle;
+import flintlead.port.HostEntry;
+import flintlead.port.Outcome;
+import flintlead.port.TriggerType;
+import flintlead.port.TriggerType.Effect;
+import flintlead.port.TriggerType.Group;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/*
+ * Every decision of a flintlead gateway, with its tables and tuned values.
+ *
+ * How it is invoked: one Control a gateway, made with the facts told at startup and a seed. The gateway calls
+ * Dispatcher (take, host list, answers to orders and probes) and, for each invocation taken, its Handle; Control
+ * calls Gateway. Both interfaces are in flintlead.port. Calls come one at a time and return at once; the only time
+ * there is is Gateway.now().
+ *
+ * Reading order: place() is the ordinary path of an invocation, Invocation.ended() what follows each outcome, and
+ * the guards of the five rules are mayDispatch, mayThrottle, coldRoom, mayOrder and Host.open.
+ */
+public final class Control implements Dispatcher {
+
+    /** The design's: no load goes where a full answer came this lately. */
+    private static final Span FULL_LASTS = Span.ofMillis(1000);
+    /** The design's: orders after a miss under way at once in one gateway. */
+    private static final int MISS_ORDERS = 2;
+    /** Own invocations in flight that a host may have before it counts as not roomy: where it starts, and bounds. */
+    private static final double ROOM_START = 8;
+    private static final double ROOM_LEAST = 2;
+    private static final double ROOM_MOST = 24;
+    /** A warm answer slower than this share of its latency objective shrinks the host's room by the factor. */
+    private static final double SLOW_SHARE = 0.8;
+    private static final double ROOM_SHRINK = 0.85;
+    private static final Span SHRINK_EVERY = Span.ofMillis(400);
+    /** A believed-warm dispatch out this long, with nothing heard from its host since, makes the host silent. */
+    private static final Span SILENT_AFTER = Span.ofMillis(900);
+    /** Share of recent outcomes that are failures above which a host is set aside, and weight of a new outcome. */
+    private static final double FAILING_ABOVE = 0.45;
+    private static final double FAILING_WEIGHT = 0.2;
+    /** A host set aside is tried again after this span, doubled each time in a row up to the longest. */
+    private static final Span ASIDE_FIRST = Span.ofMillis(1500);
+    private static final Span ASIDE_LONGEST = Span.ofMillis(8000);
+    /** With more than this share of the hosts looking bad it is not the hosts: none is left out. */
+    private static final double ASIDE_MOST = 0.5;
+    /** Share of the gateway's even part of a cold host's budget that is used. */
+    private static final double COLD_SHARE = 0.7;
+    /** How fast the gateway's own rate of dispatches is followed. */
+    private static final Span RATE_WINDOW = Span.ofMillis(5000);
+    /** Held invocations are looked at again this often while there are any. */
+    private static final Span PULSE = Span.ofMillis(20);
+    /** What a throttled client is told to wait. */
+    private static final Span RETRY_IN = Span.ofMillis(150);
+    /** Margin before a client timeout or the end of a token's window, in ticks. */
+    private static final int MARGIN_TICKS = 2;
+    /** A load under way is joined until it has taken this multiple of the usual. */
+    private static final double JOIN_UNTIL = 2.0;
+    /** A typical load where the invocation does not tell it. */
+    private static final Span LOAD_GUESS = Span.ofMillis(800);
+
+    /** What differs by trigger type. */
+    private record Row(Span latencyObjective, Effect effect, Group group, Span window, int dispatches) { }
+
+    private final Gateway gateway;
+    private final Deployment facts;
+    private final Random random;
+    private final Row[] rows;
+    private final Span margin;
+
+    /** All hosts ever listed, by id; the ring is those listed and not gone, sorted. */
+    private final TreeMap<Long, Host> hosts = new TreeMap<>();
+    private Host[] ring = new Host[0];
+    private final ArrayDeque<Invocation> held = new ArrayDeque<>();
+    private final ArrayDeque<Moment> taken = new ArrayDeque<>();
+    private final ArrayDeque<Moment> orders = new ArrayDeque<>();
+    private final Bucket[] customers;
+    private int missOrders;
+    private boolean pulsing;
+    private final Rate rate = new Rate();
+
+    public Control(Gateway gateway, Deployment facts, long seed) {
+        this.gateway = gateway;
+        this.facts = facts;
+        this.random = new Random(seed);
+        this.margin = facts.tick().times(MARGIN_TICKS);
+        double most = 0;
+        for (TriggerType type : facts.triggerTypes()) {
+            most = Math.max(most, type.billedValue());
+        }
+        rows = new Row[facts.triggerTypes().size()];
+        for (int i = 0; i < rows.length; i++) {
+            TriggerType type = facts.triggerTypes().get(i);
+            int cap = Math.max(1, facts.dispatchCap());
+            // The operators' wish: further dispatches go by billed value, here relative to the table's largest.
+            int further = most <= 0 ? cap - 1 : (int) Math.ceil((cap - 1) * type.billedValue() / most);
+            rows[i] = new Row(type.latencyObjective(), type.effect(), type.group(), type.window(),
+                Math.min(cap, 1 + further));
+        }
+        customers = new Bucket[facts.customerQuotas().size()];
+        for (int i = 0; i < customers.length; i++) {
+            customers[i] = new Bucket(facts.customerQuotas().get(i) / Math.max(1, facts.gateways()));
+        }
+        if (facts.hostsOnRequest()) {
+            gateway.follow(true);
+        }
+    }
+
+    // ---- the ordinary path ----
+
+    @Override
+    public Handle take(long id, Call call) {
+        Moment now = gateway.now();
+        taken.addLast(now);
+        forgetBefore(taken, now.minus(facts.loadsWithin()));
+        Invocation inv = new Invocation(id, call, now);
+        inv.overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
+        // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time as well.
+        gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::outOfTime);
+        place(inv);
+        return inv;
+    }
+
+    /** The ordinary path, top to bottom. Gives back false when the invocation is (still) held. */
+    private boolean place(Invocation inv) {
+        Host warm = warmest(inv);
+        if (warm != null) {
+            send(inv, warm, true);
+            return true;
+        }
+        Host joined = underWay(inv);
+        if (joined != null) {
+            send(inv, joined, false);
+            return true;
+        }
+        Host roomy = firstRoomy(inv);
+        if (roomy != null) {
+            send(inv, roomy, false);
+            return true;
+        }
+        hold(inv);
+        return false;
+    }
+
+    /** The design's warm search: all hosts, room in lanes, fewest own in flight, ties at random. */
+    private Host warmest(Invocation inv) {
+        Host best = null;
+        int ties = 0;
+        for (Host host : ring) {
+            Mark mark = host.marks.get(inv.call.function());
+            if (mark == null || mark.instances(gateway.now()) == 0 || !usable(inv, host)) {
+                continue;
+            }
+            if (mark.inFlight >= Math.max(1, inv.call.lanes()) * mark.instances
+                || mark.crowdedUntil.isAfter(gateway.now())) {
+                continue;
+            }
+            if (best == null || host.inFlight < best.inFlight) {
+                best = host;
+                ties = 1;
+            } else if (host.inFlight == best.inFlight && random.nextInt(++ties) == 0) {
+                best = host;
+            }
+        }
+        return best;
+    }
+
+    /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
+    private Host underWay(Invocation inv) {
+        for (Host host : ring) {
+            Mark mark = host.marks.get(inv.call.function());
+            if (mark != null && mark.loading > 0 && mark.inFlight < Math.max(1, inv.call.lanes())
+                && gateway.now().since(mark.loadingSince).isShorterThan(loadTime(inv).times(JOIN_UNTIL))
+                && usable(inv, host)) {
+                return host;
+            }
+        }
+        return null;
+    }
+
+    /** The design's walk: from the function's home over the sorted ids, the same from every gateway. */
+    private Host firstRoomy(Invocation inv) {
+        int n = ring.length;
+        if (n == 0) {
+            return null;
+        }
+        long hash = mix(inv.call.function());
+        int home = (int) Long.remainderUnsigned(hash, n);
+        int step = 1 + (int) Long.remainderUnsigned(hash >>> 32, Math.max(1, n - 1));
+        while (gcd(step, n) != 1) {
+            step++;
+        }
+        for (int i = 0, at = home; i < n; i++, at = (at + step) % n) {
+            Host host = ring[at];
+            if (usable(inv, host) && roomy(host) && mayLoad(inv, host)) {
+                return host;
+            }
+        }
+        return null;
+    }
+
+    private boolean roomy(Host host) {
+        return host.inFlight < host.room;
+    }
+
+    private boolean mayLoad(Invocation inv, Host host) {
+        Mark mark = host.marks.get(inv.call.function());
+        return !gateway.now().isBefore(host.fullUntil) && (mark == null || mark.loading == 0 && !mark.ordered);
+    }
+
+    /** Whether the rules, the host's health and the invocation's own past allow a dispatch there now. */
+    private boolean usable(Invocation inv, Host host) {
+        return host.open() && !aside(host) && !inv.tried(host) && mayDispatch(inv, host) && coldRoom(host);
+    }
+
+    private void hold(Invocation inv) {
+        if (!inv.held) {
+            inv.held = true;
+            held.addLast(inv);
+        }
+        if (!pulsing) {
+            pulsing = true;
+            gateway.at(gateway.now().plus(PULSE), this::pulse);
+        }
+    }
+
+    private void pulse() {
+        pulsing = false;
+        release();
+    }
+
+    /** Releases held invocations oldest first, those within their customer's share before the others. */
+    private void release() {
+        if (held.isEmpty()) {
+            return;
+        }
+        Moment now = gateway.now();
+        Set<Long> stuck = new HashSet<>();
+        for (int pass = 0; pass < 2; pass++) {
+            for (int i = held.size(); i > 0; i--) {
+                Invocation inv = held.pollFirst();
+                if (inv.over || !inv.held) {
+                    continue;
+                }
+                if (now.since(inv.at).isLongerThan(inv.row.latencyObjective()) && !inv.ordered) {
+                    inv.giveUp();
+                    continue;
+                }
+                boolean passed = inv.overShare == (pass == 0) || inv.ordered || stuck.contains(inv.call.function());
+                inv.held = false;
+                if (passed || !place(inv)) {
+                    if (!passed && inv.dispatches.isEmpty()) {
+                        stuck.add(inv.call.function());
+                    }
+                    if (passed) {
+                        inv.held = true;
+                        held.addLast(inv);
+                    }
+                }
+            }
+        }
+        if (!held.isEmpty() && !pulsing) {
+            pulsing = true;
+            gateway.at(now.plus(PULSE), this::pulse);
+        }
+    }
+
+    private void send(Invocation inv, Host host, boolean warm) {
+        Moment now = gateway.now();
+        Mark mark = host.mark(inv.call.function());
+        inv.held = false;
+        Sent sent = new Sent(inv.dispatches.size(), host, mark, now, warm);
+        inv.dispatches.add(sent);
+        inv.inFlight++;
+        host.inFlight++;
+        mark.inFlight++;
+        mark.peak = Math.max(mark.peak, mark.inFlight);
+        if (!warm) {
+            if (mark.loading++ == 0) {
+                mark.loadingSince = now;
+            }
+        }
+        host.out.put(sent, inv);
+        host.spend(now);
+        rate.count(now);
+        gateway.dispatch(inv.id, host.id(), inv.deadline);
+        if (warm) {
+            gateway.at(now.plus(SILENT_AFTER), () -> watch(inv, sent));
+        }
+    }
+
+    // ---- the guards of the rules ----
+
+    /** Rule 2: whether another dispatch of this invocation may go to that host now. */
+    private boolean mayDispatch(Invocation inv, Host host) {
+        if (inv.over || inv.dispatches.size() >= inv.row.dispatches()) {
+            return false;
+        }
+        if (inv.inFlight > 0 && !facts.secondCopies()) {
+            return false;
+        }
+        Sent first = inv.firstThatMayHaveRun();
+        if (first == null || inv.row.effect() == Effect.IDEMPOTENT) {
+            return true;
+        }
+        if (inv.row.effect() == Effect.NON_IDEMPOTENT) {
+            return false;
+        }
+        boolean inGroup = switch (inv.row.group()) {
+            case ALL -> true;
+            case ZONE -> first.host.entry.zone() == host.entry.zone();
+            case CELL -> first.host.entry.cell() == host.entry.cell();
+        };
+        return inGroup && gateway.now().plus(margin).isBefore(first.at.plus(inv.row.window()));
+    }
+
+    /** Rule 2: whether the client may be told that another try is harmless. */
+    private boolean mayThrottle(Invocation inv) {
+        return switch (inv.row.effect()) {
+            case IDEMPOTENT -> true;
+            case TOKENED -> inv.row.group() == Group.ALL || inv.firstThatMayHaveRun() == null;
+            case NON_IDEMPOTENT -> inv.firstThatMayHaveRun() == null;
+        };
+    }
+
+    /**
+     * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm host
+     * takes is not told; what this gateway sends the average host is a floor for its part of that.
+     */
+    private boolean coldRoom(Host host) {
+        Moment now = gateway.now();
+        if (!host.cold(now)) {
+            return true;
+        }
+        double age = now.since(host.entry.startedAt()).over(facts.warmAfter());
+        double part = facts.coldFrom() + (1 - facts.coldFrom()) * Math.max(0, Math.min(1, age));
+        double each = rate.perSecond(now) / Math.max(1, ring.length);
+        double budget = COLD_SHARE * facts.fallMultiple() * part * each * facts.overloadFor().micros() / 1e6;
+        return host.spent(now) < Math.max(1, Math.floor(budget));
+    }
+
+    /** Rule 5: whether one more order to load stays in the ration. */
+    private boolean mayOrder() {
+        if (!facts.orders()) {
+            return false;
+        }
+        if (facts.loadsWithin().micros() <= 0) {
+            return true;
+        }
+        Moment from = gateway.now().minus(facts.loadsWithin());
+        forgetBefore(orders, from);
+        forgetBefore(taken, from);
+        return orders.size() + 1 <= facts.freeLoads() + facts.loadShare() * taken.size();
+    }
+
+    private void order(Host host, long fn, int copies) {
+        orders.addLast(gateway.now());
+        gateway.load(host.id(), fn, copies);
+    }
+
+    private static void forgetBefore(ArrayDeque<Moment> times, Moment from) {
+        while (!times.isEmpty() && times.peekFirst().isBefore(from)) {
+            times.removeFirst();
+        }
+    }
+
+    // ---- health, by symptom ----
+
+    /** A host set aside takes nothing, then one invocation as a trial; most hosts bad at once means none is. */
+    private boolean aside(Host host) {
+        if (host.asideTimes == 0 || ring.length == 0) {
+            return false;
+        }
+        int bad = 0;
+        for (Host each : ring) {
+            bad += each.asideTimes > 0 ? 1 : 0;
+        }
+        if (bad > ASIDE_MOST * ring.length) {
+            return false;
+        }
+        return gateway.now().isBefore(host.asideUntil) || host.inFlight > host.stranded;
+    }
+
+    private void setAside(Host host) {
+        Moment now = gateway.now();
+        if (now.isBefore(host.asideUntil)) {
+            return;
+        }
+        Span span = ASIDE_FIRST.times(1L << Math.min(host.asideTimes, 8));
+        host.asideTimes++;
+        host.asideUntil = now.plus(Span.shorter(span, ASIDE_LONGEST));
+        host.stranded = host.inFlight;
+    }
+
+    /** Silent: a believed-warm dispatch is out too long and its host has answered nothing since it went. */
+    private void watch(Invocation inv, Sent sent) {
+        if (sent.outcome != null) {
+            return;
+        }
+        Host host = sent.host;
+        if (host.heardAt.isBefore(sent.at)) {
+            setAside(host);
+        }
+        if (!inv.over && host.asideTimes > 0) {
+            rescue(inv, sent);
+        }
+    }
+
+    /** Moves an invocation off a host that answers nothing, as far as rule 2 lets it. */
+    private void rescue(Invocation inv, Sent sent) {
+        if (inv.inFlight > 1 || inv.dispatches.size() >= inv.row.dispatches()) {
+            return;
+        }
+        if (facts.secondCopies()) {
+            if (!place(inv)) {
+                inv.held = false;
+                held.remove(inv);
+            }
+        } else if (facts.cancels() && inv.row.effect() != Effect.NON_IDEMPOTENT && elsewhere(inv)) {
+            gateway.cancel(inv.id, sent.number);
+        }
+    }
+
+    /** Whether some host could take the invocation if its dispatch in flight had ended without proof. */
+    private boolean elsewhere(Invocation inv) {
+        int inFlight = inv.inFlight;
+        inv.inFlight = 0;
+        boolean found = warmest(inv) != null || firstRoomy(inv) != null;
+        inv.inFlight = inFlight;
+        return found;
+    }
+
+    // ---- hosts ----
+
+    @Override
+    public void hostsAre(List<HostEntry> entries) {
+        Set<Long> named = new HashSet<>();
+        for (HostEntry entry : entries) {
+            named.add(entry.host());
+        }
+        for (Host host : hosts.values()) {
+            if (!named.contains(host.id())) {
+                host.listed = false;
+            }
+        }
+        hostsChanged(entries);
+    }
+
+    @Override
+    public void hostsChanged(List<HostEntry> entries) {
+        for (HostEntry entry : entries) {
+            Host host = hosts.get(entry.host());
+            if (host == null) {
+                host = new Host(entry);
+                hosts.put(entry.host(), host);
+            } else if (entry.startedAt().isAfter(host.entry.startedAt())) {
+                host.restarted();
+            }
+            host.entry = entry;
+            host.listed = entry.state() != HostEntry.State.GONE;
+        }
+        ring = hosts.values().stream().filter(host -> host.listed).toArray(Host[]::new);
+        release();
+    }
+
+    @Override
+    public void hostsUnknown() {
+        if (facts.hostsOnRequest()) {
+            gateway.at(gateway.now().plus(FULL_LASTS), () -> gateway.follow(true));
+        }
+    }
+
+    @Override
+    public void loaded(long id, long fn, Outcome outcome, Span elapsed, int copies) {
+        Host host = hosts.get(id);
+        if (host == null) {
+            return;
+        }
+        Moment now = gateway.now();
+        Mark mark = host.mark(fn);
+        if (outcome == Outcome.OK) {
+            mark.stands(Math.max(1, copies), now);
+        } else if (outcome == Outcome.FULL) {
+            host.fullUntil = now.plus(FULL_LASTS);
+        }
+        if (mark.ordered) {
+            mark.ordered = false;
+            missOrders--;
+            for (Invocation inv : List.copyOf(held)) {
+                if (inv.ordered && inv.orderedAt == host && inv.call.function() == fn) {
+                    inv.ordered = false;
+                    if (outcome == Outcome.OK) {
+                        inv.untry(host);
+                    }
+                }
+            }
+        }
+        release();
+    }
+
+    @Override
+    public void probed(long id, Outcome outcome, Span elapsed, float[] report) {
+        // No probes are sent: every sign of health so far comes with the dispatches themselves.
+    }
+
+    @Override
+    public void heard(int from, byte[] words) {
+        // Gateways tell each other nothing: each decides alone.
+    }
+
+    private Span loadTime(Invocation inv) {
+        return inv.call.loadHint().micros() > 0 ? inv.call.loadHint() : LOAD_GUESS;
+    }
+
+    private static long mix(long x) {
+        x = (x ^ (x >>> 33)) * 0xff51afd7ed558ccdL;
+        x = (x ^ (x >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return x ^ (x >>> 33);
+    }
+
+    private static int gcd(int a, int b) {
+        return b == 0 ? a : gcd(b, a % b);
+    }
+
+    // ---- state: one dispatch ----
+
+    private static final class Sent {
+        final int number;
+        final Host host;
+        final Mark mark;
+        final Moment at;
+        final boolean warm;
+        Outcome outcome;
+
+        Sent(int number, Host host, Mark mark, Moment at, boolean warm) {
+            this.number = number;
+            this.host = host;
+            this.mark = mark;
+            this.at = at;
+            this.warm = warm;
+        }
+    }
+
+    // ---- state: one invocation ----
+
+    private final class Invocation implements Handle {
+        final long id;
+        final Call call;
+        final Row row;
+        final Moment at;
+        final Moment deadline;
+        final List<Sent> dispatches = new ArrayList<>(2);
+        int inFlight;
+        boolean overShare;
+        boolean held;
+        boolean ordered;
+        Host orderedAt;
+        Host retryable;
+        boolean over;
+
+        Invocation(long id, Call call, Moment now) {
+            this.id = id;
+            this.call = call;
+            this.row = rows[call.triggerType()];
+            this.at = now;
+            this.deadline = now.plus(call.left());
+        }
+
+        boolean tried(Host host) {
+            for (Sent sent : dispatches) {
+                if (sent.host == host && host != retryable) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        void untry(Host host) {
+            retryable = host;
+        }
+
+        Sent firstThatMayHaveRun() {
+            for (Sent sent : dispatches) {
+                if (sent.outcome == null || sent.outcome.mayHaveRun()) {
+                    return sent;
+                }
+            }
+            return null;
+        }
+
+        @Override
+        public void ended(int number, Outcome outcome, Span elapsed, boolean last, int remark, float[] report) {
+            Sent sent = dispatches.get(number);
+            if (sent.outcome != null) {
+                return;
+            }
+            sent.outcome = outcome;
+            inFlight--;
+            sent.host.answered(this, sent, outcome, elapsed, remark, report);
+            if (last) {
+                close();
+            }
+            if (!over && inFlight == 0) {
+                if (outcome == Outcome.MISS && !orderAfterMiss(sent) || outcome != Outcome.MISS) {
+                    further();
+                }
+            }
+            release();
+        }
+
+        /** The design's: after a miss hold, order one instance there, resend on ok, else walk on. */
+        private boolean orderAfterMiss(Sent sent) {
+            if (facts.loadsWhenAbsent() || missOrders >= MISS_ORDERS || sent.mark.ordered || !mayOrder()
+                || !sent.host.open() || dispatches.size() >= row.dispatches()) {
+                return false;
+            }
+            missOrders++;
+            sent.mark.ordered = true;
+            ordered = true;
+            orderedAt = sent.host;
+            order(sent.host, call.function(), 1);
+            hold(this);
+            return true;
+        }
+
+        /** After a dispatch that ended without an answer: again where the rules allow, else the final answer. */
+        private void further() {
+            boolean sensible = dispatches.size() < row.dispatches()
+                && gateway.now().plus(margin).isBefore(deadline);
+            boolean allowed = false;
+            for (int i = 0; sensible && !allowed && i < ring.length; i++) {
+                allowed = ring[i].open() && mayDispatch(this, ring[i]);
+            }
+            if (!allowed) {
+                giveUp();
+            } else {
+                place(this);
+            }
+        }
+
+        /** The final answer at once: throttled where another try is known to be harmless, else errored. */
+        void giveUp() {
+            if (over) {
+                return;
+            }
+            boolean harmless = mayThrottle(this);
+            close();
+            if (harmless) {
+                gateway.throttle(id, facts.retryAfter() ? Span.shorter(RETRY_IN, facts.maxRetryAfter()) : Span.ZERO);
+            } else {
+                gateway.fail(id);
+            }
+        }
+
+        void outOfTime() {
+            giveUp();
+        }
+
+        /** Nothing is sent for it any more; what is still out is called back where that can be. */
+        private void close() {
+            over = true;
+            held = false;
+            for (Sent sent : dispatches) {
+                if (sent.outcome == null && facts.cancels()) {
+                    gateway.cancel(id, sent.number);
+                }
+            }
+        }
+
+        @Override
+        public void started(int number, Span elapsed) {
+            // A streamed answer belongs to its client: it is over for the decisions, its outcome still to come.
+            over = true;
+            held = false;
+            dispatches.get(number).host.heardAt = gateway.now();
+        }
+
+        @Override
+        public void hungUp() {
+            if (!over) {
+                close();
+                release();
+            }
+        }
+
+        @Override
+        public boolean isOver() {
+            return over && inFlight == 0;
+        }
+    }
+
+    // ---- state: one function at one host, and one host ----
+
+    /** What this gateway believes of one function at one host. */
+    private final class Mark {
+        int instances;
+        Moment usedAt = new Moment(0);
+        Moment peakSince = new Moment(0);
+        int peak;
+        int inFlight;
+        int loading;
+        Moment loadingSince = new Moment(0);
+        Moment crowdedUntil = new Moment(0);
+        boolean ordered;
+
+        /** Entries lapse after the told least keep-alive unused. */
+        int instances(Moment now) {
+            if (instances > 0 && inFlight == 0 && now.since(usedAt).isLongerThan(facts.idleLife())) {
+                instances = 0;
+            }
+            return instances;
+        }
+
+        void stands(int least, Moment now) {
+            instances = Math.max(instances(now), least);
+            usedAt = now;
+        }
+
+        /** Instances beyond what was used at once within a keep-alive lapse as well. */
+        void settle(double lanes, Moment now) {
+            if (now.since(peakSince).isLongerThan(facts.idleLife())) {
+                instances = Math.min(instances, Math.max(1, (int) Math.ceil(peak / Math.max(1, lanes))));
+                peak = inFlight;
+                peakSince = now;
+            }
+        }
+    }
+
+    private final class Host {
+        HostEntry entry;
+        boolean listed = true;
+        final Map<Long, Mark> marks = new HashMap<>();
+        final Map<Sent, Invocation> out = new LinkedHashMap<>();
+        final ArrayDeque<Moment> sentCold = new ArrayDeque<>();
+        int inFlight;
+        double room = ROOM_START;
+        Moment shrunkAt = new Moment(0);
+        Moment fullUntil = new Moment(0);
+        Moment heardAt = new Moment(0);
+        double failing;
+        int asideTimes;
+        int stranded;
+        Moment asideUntil = new Moment(0);
+
+        Host(HostEntry entry) {
+            this.entry = entry;
+        }
+
+        long id() {
+            return entry.host();
+        }
+
+        /** Rule 3: nothing new to a host that drains or is gone, from the moment this gateway is told. */
+        boolean open() {
+            return listed && entry.state() == HostEntry.State.READY;
+        }
+
+        boolean cold(Moment now) {
+            return entry.startedAt().micros() > 0
+                && now.since(entry.startedAt()).isShorterThan(facts.warmAfter());
+        }
+
+        Mark mark(long fn) {
+            return marks.computeIfAbsent(fn, any -> new Mark());
+        }
+
+        /** A new start under the same id has forgotten its instances; what was out there is lost. */
+        void restarted() {
+            marks.clear();
+            failing = 0;
+            asideTimes = 0;
+            asideUntil = new Moment(0);
+            fullUntil = new Moment(0);
+            room = ROOM_START;
+        }
+
+        void spend(Moment now) {
+            if (entry.startedAt().micros() > 0) {
+                sentCold.addLast(now);
+                forgetBefore(sentCold, now.minus(facts.overloadFor()));
+            }
+        }
+
+        int spent(Moment now) {
+            forgetBefore(sentCold, now.minus(facts.overloadFor()));
+            return sentCold.size();
+        }
+
+        void answered(Invocation inv, Sent sent, Outcome outcome, Span elapsed, int remark, float[] report) {
+            Moment now = gateway.now();
+            Mark mark = sent.mark;
+            inFlight--;
+            stranded = Math.min(stranded, inFlight);
+            mark.inFlight--;
+            if (!sent.warm) {
+                mark.loading--;
+            }
+            out.remove(sent);
+            int note = remark & 7;
+            switch (outcome) {
+                case OK -> {
+                    heardAt = now;
+                    failing -= failing * FAILING_WEIGHT;
+                    asideTimes = 0;
+                    int grown = note == 2 && mark.instances(now) > 0 ? mark.instances + 1 : 1;
+                    mark.stands(grown, now);
+                    mark.settle(inv.call.lanes(), now);
+                    adjustRoom(inv, sent, elapsed, now);
+                }
+                case FULL -> {
+                    heardAt = now;
+                    fullUntil = now.plus(FULL_LASTS);
+                    mark.crowdedUntil = fullUntil;
+                    room = Math.max(ROOM_LEAST, Math.min(room, inFlight));
+                }
+                case MISS -> {
+                    heardAt = now;
+                    mark.instances = 0;
+                }
+                case ERROR -> {
+                    heardAt = now;
+                    if (note == 4) {
+                        mark.instances = 0;
+                    } else {
+                        fail();
+                    }
+                }
+                case CONNECT_FAILED, RESET -> {
+                    fail();
+                    setAside(this);
+                }
+                case TIMEOUT -> {
+                    if (heardAt.isBefore(sent.at)) {
+                        fail();
+                    }
+                }
+                default -> { }
+            }
+        }
+
+        private void fail() {
+            failing += FAILING_WEIGHT * (1 - failing);
+            if (failing > FAILING_ABOVE) {
+                setAside(this);
+            }
+        }
+
+        private void setAside(Host host) {
+            Control.this.setAside(host);
+        }
+
+        /** Slow or crowded: warm answers near their latency objective shrink the room, quick ones widen it. */
+        private void adjustRoom(Invocation inv, Sent sent, Span elapsed, Moment now) {
+            if (!sent.warm) {
+                return;
+            }
+            if (elapsed.isLongerThan(inv.row.latencyObjective().times(SLOW_SHARE))) {
+                if (now.since(shrunkAt).isLongerThan(SHRINK_EVERY)) {
+                    room = Math.max(ROOM_LEAST, room * ROOM_SHRINK);
+                    shrunkAt = now;
+                }
+            } else if (inFlight + 1 >= room / 2) {
+                room = Math.min(ROOM_MOST, room + 1 / room);
+            }
+        }
+    }
+
+    // ---- state: the instance ----
+
+    /** A rate that forgets over RATE_WINDOW. */
+    private static final class Rate {
+        private double level;
+        private Moment at = new Moment(0);
+
+        void count(Moment now) {
+            decay(now);
+            level += 1;
+        }
+
+        double perSecond(Moment now) {
+            decay(now);
+            return level * 1e6 / RATE_WINDOW.micros();
+        }
+
+        private void decay(Moment now) {
+            level *= Math.exp(-now.since(at).over(RATE_WINDOW));
+            at = now;
+        }
+    }
+
+    /** A customer's share at this gateway: one second of it may be asked for at once. */
+    private static final class Bucket {
+        private final double perSecond;
+        private double level;
+        private Moment at;
+
+        Bucket(double perSecond) {
+            this.perSecond = perSecond;
+            this.level = perSecond;
+        }
+
+        boolean spend(Moment now) {
+            if (at != null) {
+                level = Math.min(perSecond, level + perSecond * now.since(at).micros() / 1e6);
+            }
+            at = now;
+            if (level < 1) {
+                return false;
+            }
+            level -= 1;
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/benchlink/StartupText.java
@@ -0,0 +1,85 @@
+package flintlead.benchlink;
+
+import flintlead.port.Deployment;
+import flintlead.port.TriggerType;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the path=value lines an instance is born with. */
+final class StartupText {
+
+    private final Map<String, String> values = new HashMap<>();
+
+    private StartupText(String text) {
+        for (String line : text.split("\n")) {
+            int equals = line.indexOf('=');
+            if (equals > 0) {
+                values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
+            }
+        }
+    }
+
+    /** An unknown key is ignored and an absent one is zero, false or empty; a value that can't be read throws. */
+    static Deployment read(String text) {
+        StartupText facts = new StartupText(text);
+        List<TriggerType> types = new ArrayList<>();
+        for (int i = 0; i < (int) facts.number("services.count"); i++) {
+            types.add(facts.triggerType("services." + i + "."));
+        }
+        List<Double> quotas = new ArrayList<>();
+        for (int i = 0; i < (int) facts.number("tenants.count"); i++) {
+            quotas.add(facts.number("tenants." + i + ".quota_per_s"));
+        }
+        String names = facts.values.getOrDefault("feedback.names", "");
+        return new Deployment((int) facts.number("index"), (int) facts.number("group_size"),
+            (int) facts.number("zone"), facts.span("tick"), facts.is("discovery", "on_request"), types, quotas,
+            facts.span("rules.answer_slack"), facts.span("rules.ask_within"), facts.number("rules.cold_from"),
+            facts.span("rules.warm_after"), facts.number("rules.fall_multiple"), facts.span("rules.overload_for"),
+            (int) facts.number("limits.attempts_cap"), facts.flag("limits.cancel"),
+            facts.flag("limits.second_copies"), facts.flag("limits.probes"), facts.flag("limits.peer_messages"),
+            facts.flag("limits.retry_after"), facts.span("limits.max_retry_after"),
+            !facts.is("extra.when_absent", "miss"), facts.flag("extra.may_order"), facts.flag("extra.tells_warm"),
+            facts.flag("extra.counts_alike"), facts.span("extra.idle_life"), facts.span("extra.load_wait"),
+            facts.span("extra.loads_within"), facts.number("extra.free_loads"), facts.number("extra.load_share"),
+            names.isEmpty() ? List.of() : List.of(names.split(",")));
+    }
+
+    private TriggerType triggerType(String at) {
+        TriggerType.Effect effect = switch (values.getOrDefault(at + "effect", "once")) {
+            case "repeatable" -> TriggerType.Effect.IDEMPOTENT;
+            case "by_key" -> TriggerType.Effect.TOKENED;
+            default -> TriggerType.Effect.NON_IDEMPOTENT;
+        };
+        TriggerType.Group group = switch (values.getOrDefault(at + "group", "cell")) {
+            case "all" -> TriggerType.Group.ALL;
+            case "zone" -> TriggerType.Group.ZONE;
+            default -> TriggerType.Group.CELL;
+        };
+        return new TriggerType(span(at + "aim"), number(at + "worth"), effect, group, span(at + "window"),
+            flag(at + "streaming"));
+    }
+
+    private boolean is(String key, String value) {
+        return value.equals(values.get(key));
+    }
+
+    private boolean flag(String key) {
+        return is(key, "true");
+    }
+
+    private double number(String key) {
+        String value = values.get(key);
+        try {
+            return value == null || value.isEmpty() ? 0 : Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException(key + " is not a number: " + value);
+        }
+    }
+
+    private Span span(String key) {
+        return new Span((long) number(key));
+    }
+}
