--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -62,6 +62,9 @@
     private static final double COLD_SHARE = 0.7;
     /** How fast the gateway's own rate of dispatches is followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
+    /** So many failed loads in a row make it the store's trouble; the pause grows by itself with each further one. */
+    private static final int STORE_FAILS = 4;
+    private static final Span STORE_PAUSE = Span.ofMillis(200);
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
     /** What a throttled client is told to wait. */
@@ -90,6 +93,10 @@
     private final ArrayDeque<Moment> orders = new ArrayDeque<>();
     private final Bucket[] customers;
     private int missOrders;
+    /** Dispatches under way that may load, and loads that failed since one last went well. */
+    private int loading;
+    private int loadsFailed;
+    private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
     private final Rate rate = new Rate();
 
@@ -218,6 +225,9 @@
     }
 
     private boolean mayLoad(Invocation inv, Host host) {
+        if (loadsFailed >= STORE_FAILS && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
+            return false;
+        }
         Mark mark = host.marks.get(inv.call.function());
         return !gateway.now().isBefore(host.fullUntil) && (mark == null || mark.loading == 0 && !mark.ordered);
     }
@@ -290,13 +300,13 @@
         mark.inFlight++;
         mark.peak = Math.max(mark.peak, mark.inFlight);
         if (!warm) {
+            loading++;
             if (mark.loading++ == 0) {
                 mark.loadingSince = now;
             }
         }
         host.out.put(sent, inv);
         host.spend(now);
-        rate.count(now);
         gateway.dispatch(inv.id, host.id(), inv.deadline);
         if (warm) {
             gateway.at(now.plus(SILENT_AFTER), () -> watch(inv, sent));
@@ -339,7 +349,8 @@
 
     /**
      * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm host
-     * takes is not told; what this gateway sends the average host is a floor for its part of that.
+     * takes is not told; what the average host answered this gateway is a floor for its part of that. Answers are
+     * counted, not dispatches: those grow without bound when everything fails and is sent again.
      */
     private boolean coldRoom(Host host) {
         Moment now = gateway.now();
@@ -522,6 +533,16 @@
         // Gateways tell each other nothing: each decides alone.
     }
 
+    /**
+     * The store turns fetches away or has stopped: loads that fail in a row stop further ones for a while, and then
+     * go one at a time until one succeeds. Warm service goes on. A few unlucky loads in a row cost a short hold.
+     */
+    private void loadFailed(Moment now) {
+        if (++loadsFailed >= STORE_FAILS && !now.isBefore(noLoadsUntil)) {
+            noLoadsUntil = now.plus(Span.shorter(STORE_PAUSE.times(loadsFailed - STORE_FAILS + 1), FULL_LASTS));
+        }
+    }
+
     private Span loadTime(Invocation inv) {
         return inv.call.loadHint().micros() > 0 ? inv.call.loadHint() : LOAD_GUESS;
     }
@@ -808,6 +829,7 @@
             mark.inFlight--;
             if (!sent.warm) {
                 mark.loading--;
+                loading--;
             }
             out.remove(sent);
             int note = remark & 7;
@@ -816,6 +838,8 @@
                     heardAt = now;
                     failing -= failing * FAILING_WEIGHT;
                     asideTimes = 0;
+                    rate.count(now);
+                    loadsFailed = 0;
                     int grown = note == 2 && mark.instances(now) > 0 ? mark.instances + 1 : 1;
                     mark.stands(grown, now);
                     mark.settle(inv.call.lanes(), now);
@@ -830,11 +854,15 @@
                 case MISS -> {
                     heardAt = now;
                     mark.instances = 0;
+                    if (note == 4) {
+                        loadFailed(now);
+                    }
                 }
                 case ERROR -> {
                     heardAt = now;
                     if (note == 4) {
                         mark.instances = 0;
+                        loadFailed(now);
                     } else {
                         fail();
                     }
