--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -65,6 +65,10 @@
     /** So many failed loads in a row make it the store's trouble; the pause grows by itself with each further one. */
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
+    /** A held invocation waits for own lanes up to this share of a load's time. */
+    private static final double LANE_WAIT = 0.5;
+    private static final Span SERVED_GUESS = Span.ofMillis(200);
+    private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
     /** What a throttled client is told to wait. */
@@ -92,6 +96,9 @@
     private final ArrayDeque<Moment> taken = new ArrayDeque<>();
     private final ArrayDeque<Moment> orders = new ArrayDeque<>();
     private final Bucket[] customers;
+    /** Held invocations of each function, and what a warm answer takes on average. */
+    private final Map<Long, Integer> heldOf = new HashMap<>();
+    private Span served = SERVED_GUESS;
     private int missOrders;
     /** Dispatches under way that may load, and loads that failed since one last went well. */
     private int loading;
@@ -149,6 +156,10 @@
             send(inv, warm, true);
             return true;
         }
+        if (laneSoon(inv)) {
+            hold(inv);
+            return false;
+        }
         Host joined = underWay(inv);
         if (joined != null) {
             send(inv, joined, false);
@@ -186,6 +197,19 @@
         return best;
     }
 
+    /** Departure: when own lanes of the function come free sooner than a load would end, hold instead of loading. */
+    private boolean laneSoon(Invocation inv) {
+        double lanes = 0;
+        for (Host host : ring) {
+            Mark mark = host.marks.get(inv.call.function());
+            if (mark != null && mark.instances(gateway.now()) > 0 && usable(inv, host)) {
+                lanes += Math.max(1, inv.call.lanes()) * mark.instances;
+            }
+        }
+        int ahead = heldOf.getOrDefault(inv.call.function(), 0);
+        return lanes > 0 && served.times((ahead + 1) / lanes).isShorterThan(loadTime(inv).times(LANE_WAIT));
+    }
+
     /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
     private Host underWay(Invocation inv) {
         for (Host host : ring) {
@@ -241,6 +265,7 @@
         if (!inv.held) {
             inv.held = true;
             held.addLast(inv);
+            heldOf.merge(inv.call.function(), 1, Integer::sum);
         }
         if (!pulsing) {
             pulsing = true;
@@ -260,6 +285,7 @@
         }
         Moment now = gateway.now();
         Set<Long> stuck = new HashSet<>();
+        heldOf.clear();
         for (int pass = 0; pass < 2; pass++) {
             for (int i = held.size(); i > 0; i--) {
                 Invocation inv = held.pollFirst();
@@ -279,6 +305,9 @@
                     if (passed) {
                         inv.held = true;
                         held.addLast(inv);
+                        if (pass == 1 || !inv.overShare) {
+                            heldOf.merge(inv.call.function(), 1, Integer::sum);
+                        }
                     }
                 }
             }
@@ -843,6 +872,9 @@
                     int grown = note == 2 && mark.instances(now) > 0 ? mark.instances + 1 : 1;
                     mark.stands(grown, now);
                     mark.settle(inv.call.lanes(), now);
+                    if (sent.warm) {
+                        served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
+                    }
                     adjustRoom(inv, sent, elapsed, now);
                 }
                 case FULL -> {
