--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -41,13 +41,14 @@
     /** The design's: orders after a miss under way at once in one gateway. */
     private static final int MISS_ORDERS = 2;
     /** Own invocations in flight that a host may have before it counts as not roomy: where it starts, and bounds. */
-    private static final double ROOM_START = 8;
-    private static final double ROOM_LEAST = 2;
+    private static final double ROOM_START = 4;
+    private static final double ROOM_LEAST = 1;
     private static final double ROOM_MOST = 24;
-    /** A warm answer slower than this share of its latency objective shrinks the host's room by the factor. */
-    private static final double SLOW_SHARE = 0.8;
-    private static final double ROOM_SHRINK = 0.85;
-    private static final Span SHRINK_EVERY = Span.ofMillis(400);
+    /** Warm answers that take more than this share of their latency objective on average shrink a host's room. */
+    private static final double PACE_AIM = 0.4;
+    private static final double PACE_FOLLOW = 0.1;
+    private static final double ROOM_SHRINK = 0.9;
+    private static final Span SHRINK_EVERY = Span.ofMillis(200);
     /** A believed-warm dispatch out this long, with nothing heard from its host since, makes the host silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
     /** Share of recent outcomes that are failures above which a host is set aside, and weight of a new outcome. */
@@ -180,7 +181,8 @@
         int ties = 0;
         for (Host host : ring) {
             Mark mark = host.marks.get(inv.call.function());
-            if (mark == null || mark.instances(gateway.now()) == 0 || !usable(inv, host)) {
+            if (mark == null || mark.instances(gateway.now()) == 0 || !roomy(host)
+                || !usable(inv, host)) {
                 continue;
             }
             if (mark.inFlight >= Math.max(1, inv.call.lanes()) * mark.instances
@@ -798,6 +800,7 @@
         final ArrayDeque<Moment> sentCold = new ArrayDeque<>();
         int inFlight;
         double room = ROOM_START;
+        double pace = PACE_AIM / 2;
         Moment shrunkAt = new Moment(0);
         Moment fullUntil = new Moment(0);
         Moment heardAt = new Moment(0);
@@ -836,6 +839,7 @@
             asideUntil = new Moment(0);
             fullUntil = new Moment(0);
             room = ROOM_START;
+            pace = PACE_AIM / 2;
         }
 
         void spend(Moment now) {
@@ -923,18 +927,19 @@
             Control.this.setAside(host);
         }
 
-        /** Slow or crowded: warm answers near their latency objective shrink the room, quick ones widen it. */
+        /** Slow or crowded: the pace of warm answers, against their latency objectives, narrows or widens the room. */
         private void adjustRoom(Invocation inv, Sent sent, Span elapsed, Moment now) {
             if (!sent.warm) {
                 return;
             }
-            if (elapsed.isLongerThan(inv.row.latencyObjective().times(SLOW_SHARE))) {
+            pace += PACE_FOLLOW * (elapsed.over(inv.row.latencyObjective()) - pace);
+            if (pace > PACE_AIM) {
                 if (now.since(shrunkAt).isLongerThan(SHRINK_EVERY)) {
-                    room = Math.max(ROOM_LEAST, room * ROOM_SHRINK);
+                    room = Math.max(ROOM_LEAST, Math.min(room, inFlight + 1) * ROOM_SHRINK);
                     shrunkAt = now;
                 }
-            } else if (inFlight + 1 >= room / 2) {
-                room = Math.min(ROOM_MOST, room + 1 / room);
+            } else if (inFlight + 1 >= room - 1) {
+                room = Math.min(ROOM_MOST, room + 0.5 / room);
             }
         }
     }
