--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -42,10 +42,10 @@
     private static final int MISS_ORDERS = 2;
     /** Own invocations in flight that a host may have before it counts as not roomy: where it starts, and bounds. */
     private static final double ROOM_START = 4;
-    private static final double ROOM_LEAST = 1;
+    private static final double ROOM_LEAST = 2;
     private static final double ROOM_MOST = 24;
     /** Warm answers that take more than this share of their latency objective on average shrink a host's room. */
-    private static final double PACE_AIM = 0.4;
+    private static final double PACE_AIM = 0.5;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
@@ -879,7 +879,7 @@
                     if (sent.warm) {
                         served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
                     }
-                    adjustRoom(inv, sent, elapsed, now);
+                    adjustRoom(inv, sent, elapsed, note, now);
                 }
                 case FULL -> {
                     heardAt = now;
@@ -928,11 +928,11 @@
         }
 
         /** Slow or crowded: the pace of warm answers, against their latency objectives, narrows or widens the room. */
-        private void adjustRoom(Invocation inv, Sent sent, Span elapsed, Moment now) {
-            if (!sent.warm) {
+        private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
+            if (!sent.warm || note > 1) {
                 return;
             }
-            pace += PACE_FOLLOW * (elapsed.over(inv.row.latencyObjective()) - pace);
+            pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - pace);
             if (pace > PACE_AIM) {
                 if (now.since(shrunkAt).isLongerThan(SHRINK_EVERY)) {
                     room = Math.max(ROOM_LEAST, Math.min(room, inFlight + 1) * ROOM_SHRINK);
