--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -67,7 +67,7 @@
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
     /** A held invocation waits for own lanes up to this share of a load's time. */
-    private static final double LANE_WAIT = 0.5;
+    private static final double LANE_WAIT = 1.0;
     private static final Span SERVED_GUESS = Span.ofMillis(200);
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
@@ -157,15 +157,15 @@
             send(inv, warm, true);
             return true;
         }
-        if (laneSoon(inv)) {
-            hold(inv);
-            return false;
-        }
         Host joined = underWay(inv);
         if (joined != null) {
             send(inv, joined, false);
             return true;
         }
+        if (laneSoon(inv)) {
+            hold(inv);
+            return false;
+        }
         Host roomy = firstRoomy(inv);
         if (roomy != null) {
             send(inv, roomy, false);
@@ -199,17 +199,34 @@
         return best;
     }
 
-    /** Departure: when own lanes of the function come free sooner than a load would end, hold instead of loading. */
+    /**
+     * Departure: when own lanes of the function come free, or an own load of it ends, sooner than a further load
+     * would, hold instead of loading.
+     */
     private boolean laneSoon(Invocation inv) {
+        Moment now = gateway.now();
+        Span load = loadTime(inv);
         double lanes = 0;
+        Span first = null;
         for (Host host : ring) {
             Mark mark = host.marks.get(inv.call.function());
-            if (mark != null && mark.instances(gateway.now()) > 0 && usable(inv, host)) {
+            if (mark == null || !usable(inv, host)) {
+                continue;
+            }
+            if (mark.instances(now) > 0) {
                 lanes += Math.max(1, inv.call.lanes()) * mark.instances;
+                first = Span.ZERO;
+            } else if (mark.loading > 0 && now.since(mark.loadingSince).isShorterThan(load.times(JOIN_UNTIL))) {
+                lanes += Math.max(1, inv.call.lanes());
+                Span left = Span.longer(Span.ZERO, load.minus(now.since(mark.loadingSince)));
+                first = first == null ? left : Span.shorter(first, left);
             }
         }
+        if (first == null) {
+            return false;
+        }
         int ahead = heldOf.getOrDefault(inv.call.function(), 0);
-        return lanes > 0 && served.times((ahead + 1) / lanes).isShorterThan(loadTime(inv).times(LANE_WAIT));
+        return first.plus(served.times((ahead + 1) / lanes)).isShorterThan(load.times(LANE_WAIT));
     }
 
     /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
