Held invocations are given up once hopeless; room aims at 0.4 of the objective

An invocation that a warm answer could no longer bring home in time is throttled at once, so that capacity goes to those that can.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -45,7 +45,7 @@
     private static final double ROOM_LEAST = 2;
     private static final double ROOM_MOST = 24;
     /** Warm answers that take more than this share of their latency objective on average shrink a host's room. */
-    private static final double PACE_AIM = 0.5;
+    private static final double PACE_AIM = 0.4;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
@@ -311,7 +311,7 @@
                 if (inv.over || !inv.held) {
                     continue;
                 }
-                if (now.since(inv.at).isLongerThan(inv.row.latencyObjective()) && !inv.ordered) {
+                if (now.since(inv.at).plus(served).isLongerThan(inv.row.latencyObjective()) && !inv.ordered) {
                     inv.giveUp();
                     continue;
                 }
