--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -10,13 +10,18 @@
 import flintlead.port.TriggerType;
 import flintlead.port.TriggerType.Effect;
 import flintlead.port.TriggerType.Group;
+import flintlead.state.DecayingRate;
+import flintlead.state.Host;
+import flintlead.state.Mark;
+import flintlead.state.RecentTimes;
+import flintlead.state.Sent;
+import flintlead.state.TokenBucket;
 import flintlead.time.Moment;
 import flintlead.time.Span;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -32,7 +37,7 @@
  * there is is Gateway.now().
  *
  * Reading order: place() is the ordinary path of an invocation, Invocation.ended() what follows each outcome, and
- * the guards of the five rules are mayDispatch, mayThrottle, coldRoom, mayOrder and Host.open.
+ * the guards of the five rules are mayDispatch, mayThrottle, coldRoom, mayOrder and open.
  */
 public final class Control implements Dispatcher {
 
@@ -93,20 +98,21 @@
     /** All hosts ever listed, by id; the ring is those listed and not gone, sorted. */
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
     private Host[] ring = new Host[0];
-    private final ArrayDeque<Invocation> held = new ArrayDeque<>();
-    private final ArrayDeque<Moment> taken = new ArrayDeque<>();
-    private final ArrayDeque<Moment> orders = new ArrayDeque<>();
-    private final Bucket[] customers;
+    private final List<Invocation> held = new ArrayList<>();
+    private final RecentTimes taken = new RecentTimes();
+    private final RecentTimes orders = new RecentTimes();
+    private final TokenBucket[] customers;
     /** Held invocations of each function, and what a warm answer takes on average. */
     private final Map<Long, Integer> heldOf = new HashMap<>();
     private Span served = SERVED_GUESS;
-    private int missOrders;
+    /** Invocations whose order after a miss is under way. */
+    private final List<Invocation> ordering = new ArrayList<>();
     /** Dispatches under way that may load, and loads that failed since one last went well. */
     private int loading;
     private int loadsFailed;
     private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
-    private final Rate rate = new Rate();
+    private final DecayingRate rate = new DecayingRate(RATE_WINDOW);
 
     public Control(Gateway gateway, Deployment facts, long seed) {
         this.gateway = gateway;
@@ -126,9 +132,9 @@
             rows[i] = new Row(type.latencyObjective(), type.effect(), type.group(), type.window(),
                 Math.min(cap, 1 + further));
         }
-        customers = new Bucket[facts.customerQuotas().size()];
+        customers = new TokenBucket[facts.customerQuotas().size()];
         for (int i = 0; i < customers.length; i++) {
-            customers[i] = new Bucket(facts.customerQuotas().get(i) / Math.max(1, facts.gateways()));
+            customers[i] = new TokenBucket(facts.customerQuotas().get(i) / Math.max(1, facts.gateways()));
         }
         if (facts.hostsOnRequest()) {
             gateway.follow(true);
@@ -140,12 +146,12 @@
     @Override
     public Handle take(long id, Call call) {
         Moment now = gateway.now();
-        taken.addLast(now);
-        forgetBefore(taken, now.minus(facts.loadsWithin()));
+        taken.add(now);
+        taken.countFrom(now.minus(facts.loadsWithin()));
         Invocation inv = new Invocation(id, call, now);
         inv.overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time as well.
-        gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::outOfTime);
+        gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
         place(inv);
         return inv;
     }
@@ -181,7 +187,7 @@
         int ties = 0;
         for (Host host : ring) {
             Mark mark = host.marks.get(inv.call.function());
-            if (mark == null || mark.instances(gateway.now()) == 0 || !roomy(host)
+            if (mark == null || believed(mark, gateway.now()) == 0 || !roomy(host)
                 || !usable(inv, host)) {
                 continue;
             }
@@ -213,7 +219,7 @@
             if (mark == null || !usable(inv, host)) {
                 continue;
             }
-            if (mark.instances(now) > 0) {
+            if (believed(mark, now) > 0) {
                 lanes += Math.max(1, inv.call.lanes()) * mark.instances;
                 first = Span.ZERO;
             } else if (mark.loading > 0 && now.since(mark.loadingSince).isShorterThan(load.times(JOIN_UNTIL))) {
@@ -272,18 +278,28 @@
             return false;
         }
         Mark mark = host.marks.get(inv.call.function());
-        return !gateway.now().isBefore(host.fullUntil) && (mark == null || mark.loading == 0 && !mark.ordered);
+        return !gateway.now().isBefore(host.fullUntil) && (mark == null || mark.loading == 0)
+            && !orderRuns(host, inv.call.function());
+    }
+
+    private boolean orderRuns(Host host, long fn) {
+        for (Invocation inv : ordering) {
+            if (inv.orderedAt == host && inv.call.function() == fn) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Whether the rules, the host's health and the invocation's own past allow a dispatch there now. */
     private boolean usable(Invocation inv, Host host) {
-        return host.open() && !aside(host) && !inv.tried(host) && mayDispatch(inv, host) && coldRoom(host);
+        return open(host) && !aside(host) && !inv.tried(host) && mayDispatch(inv, host) && coldRoom(host);
     }
 
     private void hold(Invocation inv) {
         if (!inv.held) {
             inv.held = true;
-            held.addLast(inv);
+            held.add(inv);
             heldOf.merge(inv.call.function(), 1, Integer::sum);
         }
         if (!pulsing) {
@@ -302,38 +318,25 @@
         if (held.isEmpty()) {
             return;
         }
-        Moment now = gateway.now();
-        Set<Long> stuck = new HashSet<>();
+        List<Invocation> waiting = new ArrayList<>(held);
+        waiting.sort(Comparator.comparing(inv -> inv.overShare));
+        held.clear();
         heldOf.clear();
-        for (int pass = 0; pass < 2; pass++) {
-            for (int i = held.size(); i > 0; i--) {
-                Invocation inv = held.pollFirst();
-                if (inv.over || !inv.held) {
-                    continue;
-                }
-                if (now.since(inv.at).plus(served).isLongerThan(inv.row.latencyObjective()) && !inv.ordered) {
-                    inv.giveUp();
-                    continue;
-                }
-                boolean passed = inv.overShare == (pass == 0) || inv.ordered || stuck.contains(inv.call.function());
-                inv.held = false;
-                if (passed || !place(inv)) {
-                    if (!passed && inv.dispatches.isEmpty()) {
-                        stuck.add(inv.call.function());
-                    }
-                    if (passed) {
-                        inv.held = true;
-                        held.addLast(inv);
-                        if (pass == 1 || !inv.overShare) {
-                            heldOf.merge(inv.call.function(), 1, Integer::sum);
-                        }
-                    }
-                }
+        Set<Long> stuck = new HashSet<>();
+        for (Invocation inv : waiting) {
+            if (!inv.held) {
+                continue;
+            }
+            inv.held = false;
+            if (inv.ordered) {
+                hold(inv);
+            } else if (inv.hopeless()) {
+                inv.giveUp();
+            } else if (stuck.contains(inv.call.function())) {
+                hold(inv);
+            } else if (!place(inv) && inv.dispatches.isEmpty()) {
+                stuck.add(inv.call.function());
             }
-        }
-        if (!held.isEmpty() && !pulsing) {
-            pulsing = true;
-            gateway.at(now.plus(PULSE), this::pulse);
         }
     }
 
@@ -353,8 +356,9 @@
                 mark.loadingSince = now;
             }
         }
-        host.out.put(sent, inv);
-        host.spend(now);
+        if (host.entry.startedAt().micros() > 0) {
+            host.sentCold.add(now);
+        }
         gateway.dispatch(inv.id, host.id(), inv.deadline);
         if (warm) {
             gateway.at(now.plus(SILENT_AFTER), () -> watch(inv, sent));
@@ -395,6 +399,16 @@
         };
     }
 
+    /** Rule 3: nothing new to a host that drains or is gone, from the moment this gateway is told. */
+    private static boolean open(Host host) {
+        return host.listed && host.entry.state() == HostEntry.State.READY;
+    }
+
+    private boolean cold(Host host, Moment now) {
+        return host.entry.startedAt().micros() > 0
+            && now.since(host.entry.startedAt()).isShorterThan(facts.warmAfter());
+    }
+
     /**
      * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm host
      * takes is not told; what the average host answered this gateway is a floor for its part of that. Answers are
@@ -402,14 +416,14 @@
      */
     private boolean coldRoom(Host host) {
         Moment now = gateway.now();
-        if (!host.cold(now)) {
+        if (!cold(host, now)) {
             return true;
         }
         double age = now.since(host.entry.startedAt()).over(facts.warmAfter());
         double part = facts.coldFrom() + (1 - facts.coldFrom()) * Math.max(0, Math.min(1, age));
         double each = rate.perSecond(now) / Math.max(1, ring.length);
         double budget = COLD_SHARE * facts.fallMultiple() * part * each * facts.overloadFor().micros() / 1e6;
-        return host.spent(now) < Math.max(1, Math.floor(budget));
+        return host.sentCold.countFrom(now.minus(facts.overloadFor())) < Math.max(1, Math.floor(budget));
     }
 
     /** Rule 5: whether one more order to load stays in the ration. */
@@ -421,22 +435,14 @@
             return true;
         }
         Moment from = gateway.now().minus(facts.loadsWithin());
-        forgetBefore(orders, from);
-        forgetBefore(taken, from);
-        return orders.size() + 1 <= facts.freeLoads() + facts.loadShare() * taken.size();
+        return orders.countFrom(from) + 1 <= facts.freeLoads() + facts.loadShare() * taken.countFrom(from);
     }
 
     private void order(Host host, long fn, int copies) {
-        orders.addLast(gateway.now());
+        orders.add(gateway.now());
         gateway.load(host.id(), fn, copies);
     }
 
-    private static void forgetBefore(ArrayDeque<Moment> times, Moment from) {
-        while (!times.isEmpty() && times.peekFirst().isBefore(from)) {
-            times.removeFirst();
-        }
-    }
-
     // ---- health, by symptom ----
 
     /** A host set aside takes nothing, then one invocation as a trial; most hosts bad at once means none is. */
@@ -503,6 +509,112 @@
         return found;
     }
 
+    /** What each outcome says of its host, and of the function there. */
+    private void answered(Invocation inv, Sent sent, Outcome outcome, Span elapsed, int remark, float[] report) {
+        Moment now = gateway.now();
+        Mark mark = sent.mark;
+        Host host = sent.host;
+        host.inFlight--;
+        host.stranded = Math.min(host.stranded, host.inFlight);
+        mark.inFlight--;
+        if (!sent.warm) {
+            mark.loading--;
+            loading--;
+        }
+        int note = remark & 7;
+        switch (outcome) {
+            case OK -> {
+                host.heardAt = now;
+                host.failing -= host.failing * FAILING_WEIGHT;
+                host.asideTimes = 0;
+                rate.count(now);
+                loadsFailed = 0;
+                int grown = note == 2 && believed(mark, now) > 0 ? mark.instances + 1 : 1;
+                stands(mark, grown, now);
+                settle(mark, inv.call.lanes(), now);
+                if (sent.warm) {
+                    served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
+                }
+                adjustRoom(inv, sent, elapsed, note, now);
+            }
+            case FULL -> {
+                host.heardAt = now;
+                host.fullUntil = now.plus(FULL_LASTS);
+                mark.crowdedUntil = host.fullUntil;
+                host.room = Math.max(ROOM_LEAST, Math.min(host.room, host.inFlight));
+            }
+            case MISS -> {
+                host.heardAt = now;
+                mark.instances = 0;
+                if (note == 4) {
+                    loadFailed(now);
+                }
+            }
+            case ERROR -> {
+                host.heardAt = now;
+                if (note == 4) {
+                    mark.instances = 0;
+                    loadFailed(now);
+                } else {
+                    fail(host);
+                }
+            }
+            case CONNECT_FAILED, RESET -> {
+                fail(host);
+                setAside(host);
+            }
+            case TIMEOUT -> {
+                if (host.heardAt.isBefore(sent.at)) {
+                    fail(host);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void fail(Host host) {
+        host.failing += FAILING_WEIGHT * (1 - host.failing);
+        if (host.failing > FAILING_ABOVE) {
+            setAside(host);
+        }
+    }
+
+    /** Slow or crowded: the host.pace of warm answers, against their latency objectives, narrows or widens the host.room. */
+    private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
+        Host host = sent.host;
+        if (!sent.warm || note > 1) {
+            return;
+        }
+        host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
+        if (host.pace > PACE_AIM) {
+            if (now.since(host.shrunkAt).isLongerThan(SHRINK_EVERY)) {
+                host.room = Math.max(ROOM_LEAST, Math.min(host.room, host.inFlight + 1) * ROOM_SHRINK);
+                host.shrunkAt = now;
+            }
+        } else if (host.inFlight + 1 >= host.room - 1) {
+            host.room = Math.min(ROOM_MOST, host.room + 0.5 / host.room);
+        }
+    }
+
+    /** Entries lapse after the told least keep-alive unused. */
+    private int believed(Mark mark, Moment now) {
+        return mark.instances(now, facts.idleLife());
+    }
+
+    private void stands(Mark mark, int least, Moment now) {
+        mark.instances = Math.max(believed(mark, now), least);
+        mark.usedAt = now;
+    }
+
+    /** Instances beyond what was used at once within a keep-alive lapse as well. */
+    private void settle(Mark mark, double lanes, Moment now) {
+        if (now.since(mark.peakSince).isLongerThan(facts.idleLife())) {
+            mark.instances = Math.min(mark.instances, Math.max(1, (int) Math.ceil(mark.peak / Math.max(1, lanes))));
+            mark.peak = mark.inFlight;
+            mark.peakSince = now;
+        }
+    }
+
     // ---- hosts ----
 
     @Override
@@ -526,8 +638,9 @@
             if (host == null) {
                 host = new Host(entry);
                 hosts.put(entry.host(), host);
+                begun(host);
             } else if (entry.startedAt().isAfter(host.entry.startedAt())) {
-                host.restarted();
+                begun(host);
             }
             host.entry = entry;
             host.listed = entry.state() != HostEntry.State.GONE;
@@ -536,6 +649,17 @@
         release();
     }
 
+    /** A new start, under the same id too, stands with nothing loaded and no past; what was out there is lost. */
+    private void begun(Host host) {
+        host.marks.clear();
+        host.failing = 0;
+        host.asideTimes = 0;
+        host.asideUntil = new Moment(0);
+        host.fullUntil = new Moment(0);
+        host.room = ROOM_START;
+        host.pace = PACE_AIM / 2;
+    }
+
     @Override
     public void hostsUnknown() {
         if (facts.hostsOnRequest()) {
@@ -552,20 +676,15 @@
         Moment now = gateway.now();
         Mark mark = host.mark(fn);
         if (outcome == Outcome.OK) {
-            mark.stands(Math.max(1, copies), now);
+            stands(mark, Math.max(1, copies), now);
         } else if (outcome == Outcome.FULL) {
             host.fullUntil = now.plus(FULL_LASTS);
         }
-        if (mark.ordered) {
-            mark.ordered = false;
-            missOrders--;
-            for (Invocation inv : List.copyOf(held)) {
-                if (inv.ordered && inv.orderedAt == host && inv.call.function() == fn) {
-                    inv.ordered = false;
-                    if (outcome == Outcome.OK) {
-                        inv.untry(host);
-                    }
-                }
+        for (Invocation inv : List.copyOf(ordering)) {
+            if (inv.orderedAt == host && inv.call.function() == fn) {
+                ordering.remove(inv);
+                inv.ordered = false;
+                inv.retryable = outcome == Outcome.OK ? host : null;
             }
         }
         release();
@@ -605,25 +724,6 @@
         return b == 0 ? a : gcd(b, a % b);
     }
 
-    // ---- state: one dispatch ----
-
-    private static final class Sent {
-        final int number;
-        final Host host;
-        final Mark mark;
-        final Moment at;
-        final boolean warm;
-        Outcome outcome;
-
-        Sent(int number, Host host, Mark mark, Moment at, boolean warm) {
-            this.number = number;
-            this.host = host;
-            this.mark = mark;
-            this.at = at;
-            this.warm = warm;
-        }
-    }
-
     // ---- state: one invocation ----
 
     private final class Invocation implements Handle {
@@ -658,13 +758,9 @@
             return false;
         }
 
-        void untry(Host host) {
-            retryable = host;
-        }
-
         Sent firstThatMayHaveRun() {
             for (Sent sent : dispatches) {
-                if (sent.outcome == null || sent.outcome.mayHaveRun()) {
+                if (sent.mayHaveRun()) {
                     return sent;
                 }
             }
@@ -679,7 +775,7 @@
             }
             sent.outcome = outcome;
             inFlight--;
-            sent.host.answered(this, sent, outcome, elapsed, remark, report);
+            answered(this, sent, outcome, elapsed, remark, report);
             if (last) {
                 close();
             }
@@ -693,12 +789,11 @@
 
         /** The design's: after a miss hold, order one instance there, resend on ok, else walk on. */
         private boolean orderAfterMiss(Sent sent) {
-            if (facts.loadsWhenAbsent() || missOrders >= MISS_ORDERS || sent.mark.ordered || !mayOrder()
-                || !sent.host.open() || dispatches.size() >= row.dispatches()) {
+            if (facts.loadsWhenAbsent() || ordering.size() >= MISS_ORDERS || orderRuns(sent.host, call.function())
+                || !mayOrder() || !open(sent.host) || dispatches.size() >= row.dispatches()) {
                 return false;
             }
-            missOrders++;
-            sent.mark.ordered = true;
+            ordering.add(this);
             ordered = true;
             orderedAt = sent.host;
             order(sent.host, call.function(), 1);
@@ -712,7 +807,7 @@
                 && gateway.now().plus(margin).isBefore(deadline);
             boolean allowed = false;
             for (int i = 0; sensible && !allowed && i < ring.length; i++) {
-                allowed = ring[i].open() && mayDispatch(this, ring[i]);
+                allowed = open(ring[i]) && mayDispatch(this, ring[i]);
             }
             if (!allowed) {
                 giveUp();
@@ -735,8 +830,10 @@
             }
         }
 
-        void outOfTime() {
-            giveUp();
+        /** Not even a warm answer would meet the latency objective or the client timeout any more. */
+        boolean hopeless() {
+            Moment answered = gateway.now().plus(served);
+            return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()));
         }
 
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
@@ -772,239 +869,4 @@
         }
     }
 
-    // ---- state: one function at one host, and one host ----
-
-    /** What this gateway believes of one function at one host. */
-    private final class Mark {
-        int instances;
-        Moment usedAt = new Moment(0);
-        Moment peakSince = new Moment(0);
-        int peak;
-        int inFlight;
-        int loading;
-        Moment loadingSince = new Moment(0);
-        Moment crowdedUntil = new Moment(0);
-        boolean ordered;
-
-        /** Entries lapse after the told least keep-alive unused. */
-        int instances(Moment now) {
-            if (instances > 0 && inFlight == 0 && now.since(usedAt).isLongerThan(facts.idleLife())) {
-                instances = 0;
-            }
-            return instances;
-        }
-
-        void stands(int least, Moment now) {
-            instances = Math.max(instances(now), least);
-            usedAt = now;
-        }
-
-        /** Instances beyond what was used at once within a keep-alive lapse as well. */
-        void settle(double lanes, Moment now) {
-            if (now.since(peakSince).isLongerThan(facts.idleLife())) {
-                instances = Math.min(instances, Math.max(1, (int) Math.ceil(peak / Math.max(1, lanes))));
-                peak = inFlight;
-                peakSince = now;
-            }
-        }
-    }
-
-    private final class Host {
-        HostEntry entry;
-        boolean listed = true;
-        final Map<Long, Mark> marks = new HashMap<>();
-        final Map<Sent, Invocation> out = new LinkedHashMap<>();
-        final ArrayDeque<Moment> sentCold = new ArrayDeque<>();
-        int inFlight;
-        double room = ROOM_START;
-        double pace = PACE_AIM / 2;
-        Moment shrunkAt = new Moment(0);
-        Moment fullUntil = new Moment(0);
-        Moment heardAt = new Moment(0);
-        double failing;
-        int asideTimes;
-        int stranded;
-        Moment asideUntil = new Moment(0);
-
-        Host(HostEntry entry) {
-            this.entry = entry;
-        }
-
-        long id() {
-            return entry.host();
-        }
-
-        /** Rule 3: nothing new to a host that drains or is gone, from the moment this gateway is told. */
-        boolean open() {
-            return listed && entry.state() == HostEntry.State.READY;
-        }
-
-        boolean cold(Moment now) {
-            return entry.startedAt().micros() > 0
-                && now.since(entry.startedAt()).isShorterThan(facts.warmAfter());
-        }
-
-        Mark mark(long fn) {
-            return marks.computeIfAbsent(fn, any -> new Mark());
-        }
-
-        /** A new start under the same id has forgotten its instances; what was out there is lost. */
-        void restarted() {
-            marks.clear();
-            failing = 0;
-            asideTimes = 0;
-            asideUntil = new Moment(0);
-            fullUntil = new Moment(0);
-            room = ROOM_START;
-            pace = PACE_AIM / 2;
-        }
-
-        void spend(Moment now) {
-            if (entry.startedAt().micros() > 0) {
-                sentCold.addLast(now);
-                forgetBefore(sentCold, now.minus(facts.overloadFor()));
-            }
-        }
-
-        int spent(Moment now) {
-            forgetBefore(sentCold, now.minus(facts.overloadFor()));
-            return sentCold.size();
-        }
-
-        void answered(Invocation inv, Sent sent, Outcome outcome, Span elapsed, int remark, float[] report) {
-            Moment now = gateway.now();
-            Mark mark = sent.mark;
-            inFlight--;
-            stranded = Math.min(stranded, inFlight);
-            mark.inFlight--;
-            if (!sent.warm) {
-                mark.loading--;
-                loading--;
-            }
-            out.remove(sent);
-            int note = remark & 7;
-            switch (outcome) {
-                case OK -> {
-                    heardAt = now;
-                    failing -= failing * FAILING_WEIGHT;
-                    asideTimes = 0;
-                    rate.count(now);
-                    loadsFailed = 0;
-                    int grown = note == 2 && mark.instances(now) > 0 ? mark.instances + 1 : 1;
-                    mark.stands(grown, now);
-                    mark.settle(inv.call.lanes(), now);
-                    if (sent.warm) {
-                        served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
-                    }
-                    adjustRoom(inv, sent, elapsed, note, now);
-                }
-                case FULL -> {
-                    heardAt = now;
-                    fullUntil = now.plus(FULL_LASTS);
-                    mark.crowdedUntil = fullUntil;
-                    room = Math.max(ROOM_LEAST, Math.min(room, inFlight));
-                }
-                case MISS -> {
-                    heardAt = now;
-                    mark.instances = 0;
-                    if (note == 4) {
-                        loadFailed(now);
-                    }
-                }
-                case ERROR -> {
-                    heardAt = now;
-                    if (note == 4) {
-                        mark.instances = 0;
-                        loadFailed(now);
-                    } else {
-                        fail();
-                    }
-                }
-                case CONNECT_FAILED, RESET -> {
-                    fail();
-                    setAside(this);
-                }
-                case TIMEOUT -> {
-                    if (heardAt.isBefore(sent.at)) {
-                        fail();
-                    }
-                }
-                default -> { }
-            }
-        }
-
-        private void fail() {
-            failing += FAILING_WEIGHT * (1 - failing);
-            if (failing > FAILING_ABOVE) {
-                setAside(this);
-            }
-        }
-
-        private void setAside(Host host) {
-            Control.this.setAside(host);
-        }
-
-        /** Slow or crowded: the pace of warm answers, against their latency objectives, narrows or widens the room. */
-        private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
-            if (!sent.warm || note > 1) {
-                return;
-            }
-            pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - pace);
-            if (pace > PACE_AIM) {
-                if (now.since(shrunkAt).isLongerThan(SHRINK_EVERY)) {
-                    room = Math.max(ROOM_LEAST, Math.min(room, inFlight + 1) * ROOM_SHRINK);
-                    shrunkAt = now;
-                }
-            } else if (inFlight + 1 >= room - 1) {
-                room = Math.min(ROOM_MOST, room + 0.5 / room);
-            }
-        }
-    }
-
-    // ---- state: the instance ----
-
-    /** A rate that forgets over RATE_WINDOW. */
-    private static final class Rate {
-        private double level;
-        private Moment at = new Moment(0);
-
-        void count(Moment now) {
-            decay(now);
-            level += 1;
-        }
-
-        double perSecond(Moment now) {
-            decay(now);
-            return level * 1e6 / RATE_WINDOW.micros();
-        }
-
-        private void decay(Moment now) {
-            level *= Math.exp(-now.since(at).over(RATE_WINDOW));
-            at = now;
-        }
-    }
-
-    /** A customer's share at this gateway: one second of it may be asked for at once. */
-    private static final class Bucket {
-        private final double perSecond;
-        private double level;
-        private Moment at;
-
-        Bucket(double perSecond) {
-            this.perSecond = perSecond;
-            this.level = perSecond;
-        }
-
-        boolean spend(Moment now) {
-            if (at != null) {
-                level = Math.min(perSecond, level + perSecond * now.since(at).micros() / 1e6);
-            }
-            at = now;
-            if (level < 1) {
-                return false;
-            }
-            level -= 1;
-            return true;
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/flintlead/state/Mark.java
@@ -0,0 +1,28 @@
+package flintlead.state;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+
+/** What a gateway believes and has out of one function at one host. */
+public final class Mark {
+
+    /** Instances believed to stand there. */
+    public int instances;
+    public Moment usedAt = new Moment(0);
+    /** Own dispatches out, and how many of them were sent without believing the host warm. */
+    public int inFlight;
+    public int loading;
+    public Moment loadingSince = new Moment(0);
+    /** Most own dispatches out at once since {@code peakSince}. */
+    public int peak;
+    public Moment peakSince = new Moment(0);
+    public Moment crowdedUntil = new Moment(0);
+
+    /** The belief lapses when unused for the span. */
+    public int instances(Moment now, Span lapse) {
+        if (instances > 0 && inFlight == 0 && now.since(usedAt).isLongerThan(lapse)) {
+            instances = 0;
+        }
+        return instances;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/state/Sent.java
@@ -0,0 +1,28 @@
+package flintlead.state;
+
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+
+/** One dispatch; {@code outcome} is null while it is out. */
+public final class Sent {
+
+    public final int number;
+    public final Host host;
+    public final Mark mark;
+    public final Moment at;
+    /** Whether the host was believed warm when it went. */
+    public final boolean warm;
+    public Outcome outcome;
+
+    public Sent(int number, Host host, Mark mark, Moment at, boolean warm) {
+        this.number = number;
+        this.host = host;
+        this.mark = mark;
+        this.at = at;
+        this.warm = warm;
+    }
+
+    public boolean mayHaveRun() {
+        return outcome == null || outcome.mayHaveRun();
+    }
+}
