--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -149,7 +149,8 @@
         taken.add(now);
         taken.countFrom(now.minus(facts.loadsWithin()));
         Invocation inv = new Invocation(id, call, now);
-        inv.overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
+        boolean overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
+        inv.worthLess = overShare || call.repeat();
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time as well.
         gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
         place(inv);
@@ -313,13 +314,16 @@
         release();
     }
 
-    /** Releases held invocations oldest first, those within their customer's share before the others. */
+    /**
+     * Releases held invocations oldest first; those past their customer's share, and clients' repeats, whose latency
+     * objective ran from the first try and has mostly passed, only when no other can go.
+     */
     private void release() {
         if (held.isEmpty()) {
             return;
         }
         List<Invocation> waiting = new ArrayList<>(held);
-        waiting.sort(Comparator.comparing(inv -> inv.overShare));
+        waiting.sort(Comparator.comparing(inv -> inv.worthLess));
         held.clear();
         heldOf.clear();
         Set<Long> stuck = new HashSet<>();
@@ -734,7 +738,7 @@
         final Moment deadline;
         final List<Sent> dispatches = new ArrayList<>(2);
         int inFlight;
-        boolean overShare;
+        boolean worthLess;
         boolean held;
         boolean ordered;
         Host orderedAt;
