--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -360,7 +360,7 @@
                 mark.loadingSince = now;
             }
         }
-        if (host.entry.startedAt().micros() > 0) {
+        if (cold(host, now)) {
             host.sentCold.add(now);
         }
         gateway.dispatch(inv.id, host.id(), inv.deadline);
@@ -481,7 +481,7 @@
             return;
         }
         Host host = sent.host;
-        if (host.heardAt.isBefore(sent.at)) {
+        if (!host.heardAt.isAfter(sent.at)) {
             setAside(host);
         }
         if (!inv.over && host.asideTimes > 0) {
@@ -568,7 +568,7 @@
                 setAside(host);
             }
             case TIMEOUT -> {
-                if (host.heardAt.isBefore(sent.at)) {
+                if (!host.heardAt.isAfter(sent.at)) {
                     fail(host);
                 }
             }
--- /dev/null
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -0,0 +1,171 @@
+package flintlead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.port.HostEntry;
+import flintlead.port.Outcome;
+import net.jqwik.api.Example;
+
+/** The paths of the design, and one plain case for each failure found. */
+class ControlPathTest {
+
+    private final Fleet fleet = new Fleet(Fleet.facts(true, true, 1), 5);
+
+    private Fleet.Taken served(Fleet fleet, int type, long fn) {
+        Fleet.Taken taken = fleet.take(type, fn, 2000);
+        fleet.pass(100);
+        fleet.end(taken.outs.get(0), Outcome.OK);
+        return taken;
+    }
+
+    @Example
+    void sticksToTheWarmHost() {
+        long home = served(fleet, 0, 42).outs.get(0).host;
+        assertEquals(home, served(fleet, 0, 42).outs.get(0).host);
+        assertEquals(home, served(fleet, 1, 42).outs.get(0).host);
+    }
+
+    @Example
+    void twoGatewaysWalkAlike() {
+        Fleet other = new Fleet(Fleet.facts(true, true, 1), 5);
+        for (long fn = 1; fn < 20; fn++) {
+            assertEquals(served(fleet, 0, fn).outs.get(0).host, served(other, 0, fn).outs.get(0).host);
+        }
+    }
+
+    @Example
+    void spreadsWhenAFunctionTurnsHot() {
+        served(fleet, 0, 42);
+        for (int i = 0; i < 40; i++) {
+            fleet.take(0, 42, 2000);
+        }
+        assertTrue(fleet.out.stream().map(out -> out.host).distinct().count() > 1);
+    }
+
+    @Example
+    void aMarkLapsesAndTheWalkDecidesAgain() {
+        Fleet.Taken first = fleet.take(0, 42, 2000);
+        fleet.end(first.outs.get(0), Outcome.FULL);
+        fleet.end(first.outs.get(1), Outcome.OK);
+        fleet.pass(9000);
+        assertEquals(first.outs.get(0).host, served(fleet, 0, 42).outs.get(0).host);
+    }
+
+    @Example
+    void noLoadWhereAFullAnswerCameWithinASecond() {
+        Fleet.Taken first = fleet.take(0, 42, 2000);
+        fleet.end(first.outs.get(0), Outcome.FULL);
+        assertNotEquals(first.outs.get(0).host, first.outs.get(1).host);
+        assertNotEquals(first.outs.get(0).host, fleet.take(0, 42, 2000).outs.get(0).host);
+    }
+
+    @Example
+    void joinsAnOwnLoadOrWaitsForIt() {
+        Fleet.Taken first = fleet.take(0, 42, 2000);
+        fleet.pass(400);
+        Fleet.Taken second = fleet.take(0, 42, 2000);
+        assertTrue(second.outs.isEmpty());
+        fleet.pass(100);
+        fleet.end(first.outs.get(0), Outcome.OK, 2);
+        assertEquals(first.outs.get(0).host, second.outs.get(0).host);
+    }
+
+    @Example
+    void ordersAfterAMissAndResendsOnOk() {
+        Fleet miss = new Fleet(Fleet.facts(false, true, 1), 5);
+        Fleet.Taken taken = miss.take(0, 42, 2000);
+        miss.end(taken.outs.get(0), Outcome.MISS);
+        assertEquals(1, miss.orders.size());
+        miss.answerOrder(Outcome.OK);
+        assertEquals(taken.outs.get(0).host, taken.outs.get(1).host);
+    }
+
+    @Example
+    void walksOnWhenTheOrderFails() {
+        Fleet miss = new Fleet(Fleet.facts(false, true, 1), 5);
+        Fleet.Taken taken = miss.take(1, 42, 2000);
+        miss.end(taken.outs.get(0), Outcome.MISS);
+        miss.answerOrder(Outcome.FULL);
+        assertNotEquals(taken.outs.get(0).host, taken.outs.get(1).host);
+    }
+
+    @Example
+    void furtherDispatchesGoByBilledValue() {
+        Fleet.Taken cheap = fleet.take(0, 42, 2000);
+        fleet.end(cheap.outs.get(0), Outcome.ERROR);
+        fleet.end(cheap.outs.get(1), Outcome.ERROR);
+        assertEquals("throttled", cheap.answer);
+        Fleet.Taken dear = fleet.take(1, 43, 2000);
+        fleet.end(dear.outs.get(0), Outcome.ERROR);
+        fleet.end(dear.outs.get(1), Outcome.ERROR);
+        assertEquals(3, dear.outs.size());
+    }
+
+    @Example
+    void aNonIdempotentThatMayHaveRunIsErroredAtOnce() {
+        Fleet.Taken taken = fleet.take(3, 42, 2000);
+        fleet.end(taken.outs.get(0), Outcome.RESET);
+        assertEquals("errored", taken.answer);
+    }
+
+    /** The cold budget once followed dispatches, which multiply while everything fails and is sent again. */
+    @Example
+    void failuresDoNotWidenTheColdBudget() {
+        fleet.list(fleet.entry(102, HostEntry.State.READY, fleet.now().micros()));
+        for (int i = 0; i < 200; i++) {
+            Fleet.Taken taken = fleet.take(0, i, 2000);
+            while (taken.answer == null && !taken.outs.isEmpty()
+                && taken.outs.get(taken.outs.size() - 1).outcome == null) {
+                fleet.end(taken.outs.get(taken.outs.size() - 1), Outcome.ERROR, 4);
+            }
+            fleet.pass(4);
+        }
+        assertTrue(fleet.invs.values().stream().flatMap(taken -> taken.outs.stream())
+            .filter(out -> out.host == 102).count() <= 1);
+    }
+
+    /** Loads that fail in a row were once repeated at full pace against a store that had stopped. */
+    @Example
+    void failedLoadsPauseFurtherOnes() {
+        for (int i = 0; i < 100; i++) {
+            Fleet.Taken taken = fleet.take(0, i, 2000);
+            while (!fleet.out.isEmpty()) {
+                fleet.end(fleet.out.get(0), Outcome.ERROR, 4);
+            }
+        }
+        int sent = fleet.invs.values().stream().mapToInt(taken -> taken.outs.size()).sum();
+        assertTrue(sent < 20, "loads sent: " + sent);
+    }
+
+    /** A restarted host is empty, whatever it held: its marks must not draw the warm search. */
+    @Example
+    void aRestartVoidsTheMarks() {
+        long home = served(fleet, 0, 42).outs.get(0).host;
+        fleet.list(fleet.entry(home, HostEntry.State.READY, fleet.now().micros()));
+        fleet.list(fleet.entry(home, HostEntry.State.DRAINING, fleet.now().micros()));
+        assertNotEquals(home, fleet.take(0, 42, 2000).outs.get(0).host);
+    }
+
+    /** A host that answers nothing is set aside, and what it holds is sent elsewhere where rule 2 allows it. */
+    @Example
+    void aSilentHostLosesItsInvocations() {
+        long home = served(fleet, 0, 42).outs.get(0).host;
+        Fleet.Taken stuck = fleet.take(0, 42, 2900);
+        fleet.pass(1500);
+        assertEquals(2, stuck.outs.size());
+        assertNotEquals(home, stuck.outs.get(1).host);
+    }
+
+    /** Held invocations that can no longer be in time are throttled at once, not near their client timeout. */
+    @Example
+    void aHopelessInvocationIsAnsweredAtOnce() {
+        for (long host = 100; host < 105; host++) {
+            fleet.list(fleet.entry(host, HostEntry.State.DRAINING, 0));
+        }
+        Fleet.Taken taken = fleet.take(1, 42, 3000);
+        fleet.pass(1020);
+        assertEquals("throttled", taken.answer);
+    }
+}
--- /dev/null
+++ b/src/test/java/flintlead/ControlRulesTest.java
@@ -0,0 +1,63 @@
+package flintlead;
+
+import flintlead.port.HostEntry;
+import flintlead.port.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Random days on a small scripted fleet; the fleet checks the five rules at every step. */
+class ControlRulesTest {
+
+    private static final Outcome[] OUTCOMES = Outcome.values();
+
+    @Property(tries = 100, seed = "4711")
+    void keepsTheRulesWhereAHostLoadsByItself(@ForAll @Size(min = 100, max = 500)
+            List<@IntRange(min = 0, max = 999_999) Integer> steps) {
+        play(new Fleet(Fleet.facts(true, false, 2), 5), steps);
+    }
+
+    @Property(tries = 100, seed = "4712")
+    void keepsTheRulesWithSecondCopies(@ForAll @Size(min = 100, max = 500)
+            List<@IntRange(min = 0, max = 999_999) Integer> steps) {
+        play(new Fleet(Fleet.facts(true, true, 3), 4), steps);
+    }
+
+    @Property(tries = 100, seed = "4713")
+    void keepsTheRulesWhereOnlyOrdersLoad(@ForAll @Size(min = 100, max = 500)
+            List<@IntRange(min = 0, max = 999_999) Integer> steps) {
+        play(new Fleet(Fleet.facts(false, true, 1), 5), steps);
+    }
+
+    private static void play(Fleet fleet, List<Integer> steps) {
+        for (int step : steps) {
+            int which = step % 20;
+            int detail = step / 20;
+            if (which < 7) {
+                fleet.take(detail % 4, detail / 4 % 6, 300 + detail % 3000);
+            } else if (which < 12 && !fleet.out.isEmpty()) {
+                fleet.end(fleet.out.get(detail % fleet.out.size()), Outcome.OK, 1 + detail % 3);
+            } else if (which < 14 && !fleet.out.isEmpty()) {
+                int remark = detail % 5 == 0 ? 4 : 0;
+                fleet.end(fleet.out.get(detail % fleet.out.size()), OUTCOMES[1 + detail / 7 % 8], remark);
+            } else if (which == 14 && !fleet.orders.isEmpty()) {
+                fleet.answerOrder(detail % 3 == 0 ? Outcome.FULL : Outcome.OK);
+            } else if (which == 15) {
+                var hosts = new ArrayList<>(fleet.listed.keySet());
+                HostEntry.State state = HostEntry.State.values()[detail % 3];
+                long host = hosts.get(detail / 3 % hosts.size());
+                boolean restarted = detail % 2 == 0 && state == HostEntry.State.READY;
+                long start = restarted ? fleet.now().micros() : fleet.listed.get(host).startedAt().micros();
+                fleet.list(fleet.entry(host, state, start));
+            } else if (which == 16 && !fleet.invs.isEmpty() && detail % 4 == 0) {
+                fleet.hangUp(fleet.invs.get((long) (detail % fleet.invs.size())));
+            } else {
+                fleet.pass(detail % 40 == 0 ? 1000 : detail % 60);
+            }
+        }
+        fleet.pass(4000);
+    }
+}
--- /dev/null
+++ b/src/test/java/flintlead/Fleet.java
@@ -0,0 +1,304 @@
+package flintlead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.port.Call;
+import flintlead.port.Deployment;
+import flintlead.port.Gateway;
+import flintlead.port.Handle;
+import flintlead.port.HostEntry;
+import flintlead.port.Outcome;
+import flintlead.port.TriggerType;
+import flintlead.port.TriggerType.Effect;
+import flintlead.port.TriggerType.Group;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+
+/** A scripted fleet behind one Control: it plays what it is told to and checks the five rules at every action. */
+final class Fleet implements Gateway {
+
+    static final int IDEMPOTENT = 0;
+    static final int TOKENED_ALL = 1;
+    static final int TOKENED_CELL = 2;
+    static final int NON_IDEMPOTENT = 3;
+    static final float[] NO_REPORT = {};
+
+    /** One dispatch as the fleet saw it. */
+    static final class Out {
+        final long inv;
+        final int number;
+        final long host;
+        final Moment at;
+        Outcome outcome;
+
+        Out(long inv, int number, long host, Moment at) {
+            this.inv = inv;
+            this.number = number;
+            this.host = host;
+            this.at = at;
+        }
+    }
+
+    /** One taken invocation as its client saw it. */
+    static final class Taken {
+        int type;
+        Moment deadline;
+        Handle handle;
+        String answer;
+        final List<Out> outs = new ArrayList<>();
+
+        Out firstThatMayHaveRun() {
+            return outs.stream().filter(out -> out.outcome == null || out.outcome.mayHaveRun()).findFirst()
+                .orElse(null);
+        }
+    }
+
+    private record Timer(Moment when, int order, Runnable then) { }
+
+    final Deployment facts;
+    final Control control;
+    final Map<Long, Taken> invs = new TreeMap<>();
+    final List<Out> out = new ArrayList<>();
+    final List<long[]> orders = new ArrayList<>();
+    final Map<Long, HostEntry> listed = new TreeMap<>();
+    private final Map<Long, Moment> closedAt = new HashMap<>();
+    private final Map<Long, List<Moment>> sentTo = new HashMap<>();
+    private final List<Moment> takenAt = new ArrayList<>();
+    private final List<Moment> orderedAt = new ArrayList<>();
+    private final List<Moment> okAt = new ArrayList<>();
+    private final PriorityQueue<Timer> timers =
+        new PriorityQueue<>(Comparator.comparing(Timer::when).thenComparing(Timer::order));
+    private int timerCount;
+    private long nextInv;
+    private Moment now = new Moment(1_000_000_000);
+
+    Fleet(Deployment facts, int hosts) {
+        this.facts = facts;
+        this.control = new Control(this, facts, 7);
+        for (int i = 0; i < hosts; i++) {
+            listed.put(100L + i, entry(100 + i, HostEntry.State.READY, 0));
+        }
+        control.hostsAre(new ArrayList<>(listed.values()));
+    }
+
+    static Deployment facts(boolean loadsWhenAbsent, boolean secondCopies, int gateways) {
+        List<TriggerType> types = List.of(
+            type(3, Effect.IDEMPOTENT, Group.ALL), type(9, Effect.TOKENED, Group.ALL),
+            type(9, Effect.TOKENED, Group.CELL), type(9, Effect.NON_IDEMPOTENT, Group.ALL));
+        return new Deployment(0, gateways, 0, Span.ofMillis(2), false, types, List.of(40.0, 20.0),
+            Span.ofMillis(8), Span.ZERO, 0.25, Span.ofMillis(17000), 2, Span.ofMillis(1500), 3, true, secondCopies,
+            true, false, true, Span.ofMillis(500), loadsWhenAbsent, true, true, false, Span.ofMillis(8000),
+            Span.ofMillis(10000), Span.ofMillis(5000), 2, 0.3, List.of("waiting"));
+    }
+
+    private static TriggerType type(double value, Effect effect, Group group) {
+        return new TriggerType(Span.ofMillis(1000), value, effect, group, Span.ofMillis(2000), false);
+    }
+
+    HostEntry entry(long host, HostEntry.State state, long startedAt) {
+        return new HostEntry(host, (int) (host % 3), (int) (host % 2), 0, state, new Moment(startedAt), 1);
+    }
+
+    // ---- what the script does ----
+
+    Taken take(int type, long fn, double millisLeft) {
+        Taken taken = new Taken();
+        taken.type = type;
+        taken.deadline = now.plus(Span.ofMillis(millisLeft));
+        long id = nextInv++;
+        invs.put(id, taken);
+        takenAt.add(now);
+        taken.handle = control.take(id, new Call(type, 0, fn, Span.ofMillis(millisLeft), Span.ZERO, false, 400, 1,
+            Span.ofMillis(600), false));
+        return taken;
+    }
+
+    void end(Out dispatch, Outcome outcome) {
+        end(dispatch, outcome, outcome == Outcome.OK ? 1 : 0);
+    }
+
+    void end(Out dispatch, Outcome outcome, int remark) {
+        out.remove(dispatch);
+        dispatch.outcome = outcome;
+        Taken taken = invs.get(dispatch.inv);
+        if (outcome == Outcome.OK && taken.answer == null) {
+            taken.answer = "succeeded";
+        }
+        if (outcome == Outcome.OK) {
+            okAt.add(now);
+        }
+        taken.handle.ended(dispatch.number, outcome, now.since(dispatch.at), taken.answer != null, remark, NO_REPORT);
+    }
+
+    void hangUp(Taken taken) {
+        if (taken.answer == null) {
+            taken.answer = "left";
+        }
+        taken.handle.hungUp();
+    }
+
+    void list(HostEntry entry) {
+        HostEntry before = listed.put(entry.host(), entry);
+        if (before != null && entry.startedAt().isAfter(before.startedAt())) {
+            sentTo.remove(entry.host());
+        }
+        if (entry.state() == HostEntry.State.READY) {
+            closedAt.remove(entry.host());
+        } else {
+            closedAt.putIfAbsent(entry.host(), now);
+        }
+        control.hostsChanged(List.of(entry));
+    }
+
+    void answerOrder(Outcome outcome) {
+        long[] order = orders.remove(0);
+        control.loaded(order[0], order[1], outcome, Span.ofMillis(600), outcome == Outcome.OK ? 1 : 0);
+    }
+
+    /** Lets time pass, fires timers, ends dispatches at their client timeout. */
+    void pass(double millis) {
+        Moment until = now.plus(Span.ofMillis(millis));
+        while (now.isBefore(until)) {
+            now = Moment.earlier(until, now.plus(facts.tick()));
+            while (!timers.isEmpty() && !timers.peek().when().isAfter(now)) {
+                timers.poll().then().run();
+            }
+            for (Out late : List.copyOf(out)) {
+                if (late.outcome == null && now.isAfter(invs.get(late.inv).deadline)) {
+                    end(late, Outcome.TIMEOUT);
+                }
+            }
+            for (Taken taken : invs.values()) {
+                assertFalse(taken.answer == null && now.isAfter(taken.deadline.plus(facts.answerSlack())),
+                    "rule 1: no answer in the client's time");
+            }
+        }
+    }
+
+    // ---- what the decisions ask for, checked ----
+
+    @Override
+    public Moment now() {
+        return now;
+    }
+
+    @Override
+    public void dispatch(long invocation, long host, Moment abandonAt) {
+        Taken taken = invs.get(invocation);
+        assertTrue(taken.answer == null, "rule 1: a dispatch after the final answer");
+        assertNotNull(listed.get(host));
+        assertFalse(closedAt.containsKey(host), "rule 3: a dispatch to a closed host");
+        assertTrue(taken.outs.size() < facts.dispatchCap(), "more dispatches than the cap");
+        TriggerType type = facts.triggerTypes().get(taken.type);
+        Out first = taken.firstThatMayHaveRun();
+        if (first != null) {
+            assertFalse(type.effect() == Effect.NON_IDEMPOTENT, "rule 2: a non-idempotent repeat");
+            boolean anyOut = taken.outs.stream().anyMatch(each -> each.outcome == null);
+            assertTrue(facts.secondCopies() || !anyOut, "rule 2: two at once");
+            if (type.effect() == Effect.TOKENED) {
+                assertTrue(now.since(first.at).isShorterThan(type.window()), "rule 2: outside the window");
+                assertTrue(type.group() == Group.ALL
+                    || listed.get(first.host).cell() == listed.get(host).cell(), "rule 2: outside the group");
+            }
+        }
+        List<Moment> sent = sentTo.computeIfAbsent(host, any -> new ArrayList<>());
+        sent.add(now);
+        HostEntry entry = listed.get(host);
+        Span age = now.since(entry.startedAt());
+        if (entry.startedAt().micros() > 0 && age.isShorterThan(facts.warmAfter())) {
+            double sentCold = recent(sent, facts.overloadFor());
+            long running = listed.values().stream().filter(each -> each.state() != HostEntry.State.GONE).count();
+            double part = facts.coldFrom() + (1 - facts.coldFrom()) * age.over(facts.warmAfter());
+            double budget = facts.fallMultiple() * part * okAt.size() / 5 / running
+                * facts.overloadFor().micros() / 1e6;
+            assertTrue(sentCold <= Math.max(1, budget), "rule 4: a cold host pushed");
+        }
+        Out dispatch = new Out(invocation, taken.outs.size(), host, now);
+        taken.outs.add(dispatch);
+        out.add(dispatch);
+    }
+
+    private double recent(List<Moment> times, Span window) {
+        return times.stream().filter(at -> !at.isBefore(now.minus(window))).count();
+    }
+
+    @Override
+    public void cancel(long invocation, int dispatch) {
+        Out cancelled = invs.get(invocation).outs.get(dispatch);
+        if (cancelled.outcome == null) {
+            at(now, () -> {
+                if (cancelled.outcome == null) {
+                    end(cancelled, Outcome.CANCELLED);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void throttle(long invocation, Span retryIn) {
+        Taken taken = invs.get(invocation);
+        TriggerType type = facts.triggerTypes().get(taken.type);
+        boolean mayHaveRun = taken.firstThatMayHaveRun() != null;
+        assertFalse(mayHaveRun && (type.effect() == Effect.NON_IDEMPOTENT
+            || type.effect() == Effect.TOKENED && type.group() != Group.ALL), "rule 2: throttled but may have run");
+        answer(taken, "throttled");
+    }
+
+    @Override
+    public void fail(long invocation) {
+        answer(invs.get(invocation), "errored");
+    }
+
+    private void answer(Taken taken, String answer) {
+        assertEquals(null, taken.answer, "rule 1: a second final answer");
+        taken.answer = answer;
+    }
+
+    @Override
+    public void load(long host, long function, int copies) {
+        assertFalse(closedAt.containsKey(host), "rule 3: an order to a closed host");
+        orderedAt.add(now);
+        assertTrue(recent(orderedAt, facts.loadsWithin())
+            <= facts.freeLoads() + facts.loadShare() * recent(takenAt, facts.loadsWithin()), "rule 5: over the ration");
+        orders.add(new long[] {host, function});
+    }
+
+    @Override
+    public void at(Moment when, Runnable then) {
+        timers.add(new Timer(when, timerCount++, then));
+    }
+
+    @Override
+    public void unload(long host, long function) { }
+
+    @Override
+    public void probe(long host) { }
+
+    @Override
+    public void closeIdle(long host) { }
+
+    @Override
+    public void follow(boolean active) { }
+
+    @Override
+    public void fetchHosts() { }
+
+    @Override
+    public void tell(int gateway, byte[] words) { }
+
+    @Override
+    public void tellAll(byte[] words) { }
+
+    @Override
+    public void log(String line) { }
+}
