--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -77,6 +77,8 @@
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
+    /** Longest hold, as a share of the latency objective. */
+    private static final double HOLD_SHARE = 0.35;
     /** What a throttled client is told to wait. */
     private static final Span RETRY_IN = Span.ofMillis(150);
     /** Margin before a client timeout or the end of a token's window, in ticks. */
@@ -837,7 +839,8 @@
         /** Not even a warm answer would meet the latency objective or the client timeout any more. */
         boolean hopeless() {
             Moment answered = gateway.now().plus(served);
-            return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()));
+            return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()))
+                || gateway.now().since(at).isLongerThan(row.latencyObjective().times(HOLD_SHARE));
         }
 
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
