--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -77,8 +77,8 @@
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
-    /** Longest hold, as a share of the latency objective. */
-    private static final double HOLD_SHARE = 0.35;
+    /** Longest hold for any room at all, as a share of the latency objective. */
+    private static final double HOLD_SHARE = 0.15;
     /** What a throttled client is told to wait. */
     private static final Span RETRY_IN = Span.ofMillis(150);
     /** Margin before a client timeout or the end of a token's window, in ticks. */
@@ -151,8 +151,8 @@
         taken.add(now);
         taken.countFrom(now.minus(facts.loadsWithin()));
         Invocation inv = new Invocation(id, call, now);
-        boolean overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
-        inv.worthLess = overShare || call.repeat();
+        inv.overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
+        inv.worthLess = inv.overShare || call.repeat();
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time as well.
         gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
         place(inv);
@@ -171,7 +171,8 @@
             send(inv, joined, false);
             return true;
         }
-        if (laneSoon(inv)) {
+        inv.awaitsLane = laneSoon(inv);
+        if (inv.awaitsLane) {
             hold(inv);
             return false;
         }
@@ -740,7 +741,9 @@
         final Moment deadline;
         final List<Sent> dispatches = new ArrayList<>(2);
         int inFlight;
+        boolean overShare;
         boolean worthLess;
+        boolean awaitsLane;
         boolean held;
         boolean ordered;
         Host orderedAt;
@@ -830,6 +833,9 @@
             boolean harmless = mayThrottle(this);
             close();
             if (harmless) {
+                if (!overShare && call.customer() < customers.length) {
+                    customers[call.customer()].giveBack();
+                }
                 gateway.throttle(id, facts.retryAfter() ? Span.shorter(RETRY_IN, facts.maxRetryAfter()) : Span.ZERO);
             } else {
                 gateway.fail(id);
@@ -840,7 +846,7 @@
         boolean hopeless() {
             Moment answered = gateway.now().plus(served);
             return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()))
-                || gateway.now().since(at).isLongerThan(row.latencyObjective().times(HOLD_SHARE));
+                || !awaitsLane && gateway.now().since(at).isLongerThan(row.latencyObjective().times(HOLD_SHARE));
         }
 
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
--- a/src/main/java/flintlead/state/TokenBucket.java
+++ b/src/main/java/flintlead/state/TokenBucket.java
@@ -25,4 +25,9 @@
         level -= 1;
         return true;
     }
+
+    /** Returns a token that was spent in vain. */
+    public void giveBack() {
+        level = Math.min(perSecond, level + 1);
+    }
 }
