--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -77,8 +77,10 @@
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
+    /** What a repeat or an invocation past its share counts for in the order of release. */
+    private static final double REPEAT_WORTH = 0.1;
     /** Longest hold for any room at all, as a share of the latency objective. */
-    private static final double HOLD_SHARE = 0.15;
+    private static final double HOLD_SHARE = 0.35;
     /** What a throttled client is told to wait. */
     private static final Span RETRY_IN = Span.ofMillis(150);
     /** Margin before a client timeout or the end of a token's window, in ticks. */
@@ -89,7 +91,7 @@
     private static final Span LOAD_GUESS = Span.ofMillis(800);
 
     /** What differs by trigger type. */
-    private record Row(Span latencyObjective, Effect effect, Group group, Span window, int dispatches) { }
+    private record Row(double billedValue, Span latencyObjective, Effect effect, Group group, Span window, int dispatches) { }
 
     private final Gateway gateway;
     private final Deployment facts;
@@ -131,7 +133,7 @@
             int cap = Math.max(1, facts.dispatchCap());
             // The operators' wish: further dispatches go by billed value, here relative to the table's largest.
             int further = most <= 0 ? cap - 1 : (int) Math.ceil((cap - 1) * type.billedValue() / most);
-            rows[i] = new Row(type.latencyObjective(), type.effect(), type.group(), type.window(),
+            rows[i] = new Row(type.billedValue(), type.latencyObjective(), type.effect(), type.group(), type.window(),
                 Math.min(cap, 1 + further));
         }
         customers = new TokenBucket[facts.customerQuotas().size()];
@@ -326,7 +328,7 @@
             return;
         }
         List<Invocation> waiting = new ArrayList<>(held);
-        waiting.sort(Comparator.comparing(inv -> inv.worthLess));
+        waiting.sort(Comparator.comparingDouble(inv -> -inv.value()));
         held.clear();
         heldOf.clear();
         Set<Long> stuck = new HashSet<>();
@@ -842,6 +844,11 @@
             }
         }
 
+        /** What serving it in time still earns, next to others held. */
+        double value() {
+            return worthLess ? row.billedValue * REPEAT_WORTH : row.billedValue;
+        }
+
         /** Not even a warm answer would meet the latency objective or the client timeout any more. */
         boolean hopeless() {
             Moment answered = gateway.now().plus(served);
