--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -79,7 +79,7 @@
     private static final Span PULSE = Span.ofMillis(20);
     /** What a repeat or an invocation past its share counts for in the order of release. */
     private static final double REPEAT_WORTH = 0.1;
-    /** Longest hold for any room at all, as a share of the latency objective. */
+    /** Longest hold, as a share of the latency objective. */
     private static final double HOLD_SHARE = 0.35;
     /** What a throttled client is told to wait. */
     private static final Span RETRY_IN = Span.ofMillis(150);
@@ -173,8 +173,7 @@
             send(inv, joined, false);
             return true;
         }
-        inv.awaitsLane = laneSoon(inv);
-        if (inv.awaitsLane) {
+        if (laneSoon(inv)) {
             hold(inv);
             return false;
         }
@@ -745,7 +744,6 @@
         int inFlight;
         boolean overShare;
         boolean worthLess;
-        boolean awaitsLane;
         boolean held;
         boolean ordered;
         Host orderedAt;
@@ -853,7 +851,7 @@
         boolean hopeless() {
             Moment answered = gateway.now().plus(served);
             return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()))
-                || !awaitsLane && gateway.now().since(at).isLongerThan(row.latencyObjective().times(HOLD_SHARE));
+                || gateway.now().since(at).isLongerThan(row.latencyObjective().times(HOLD_SHARE));
         }
 
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
