Own loads under way are bounded by how loads go

Covers a slow or stopped store, crowded loaders, floods of one-time functions; harms where loads always outlast the objective.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -68,6 +68,9 @@
     private static final double COLD_SHARE = 0.7;
     /** How fast the gateway's own rate of dispatches is followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
+    /** Own loads under way: where the number starts, and its least. */
+    private static final double LOADS_START = 16;
+    private static final double LOADS_LEAST = 2;
     /** So many failed loads in a row make it the store's trouble; the pause grows by itself with each further one. */
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
@@ -114,6 +117,8 @@
     /** Dispatches under way that may load, and loads that failed since one last went well. */
     private int loading;
     private int loadsFailed;
+    private double loadRoom = LOADS_START;
+    private Moment loadsShrunkAt = new Moment(0);
     private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
     private final DecayingRate rate = new DecayingRate(RATE_WINDOW);
@@ -279,7 +284,7 @@
     }
 
     private boolean mayLoad(Invocation inv, Host host) {
-        if (loadsFailed >= STORE_FAILS && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
+        if (loading >= loadRoom || loadsFailed >= STORE_FAILS && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
             return false;
         }
         Mark mark = host.marks.get(inv.call.function());
@@ -358,11 +363,9 @@
         host.inFlight++;
         mark.inFlight++;
         mark.peak = Math.max(mark.peak, mark.inFlight);
-        if (!warm) {
+        if (!warm && mark.loading++ == 0) {
             loading++;
-            if (mark.loading++ == 0) {
-                mark.loadingSince = now;
-            }
+            mark.loadingSince = now;
         }
         if (cold(host, now)) {
             host.sentCold.add(now);
@@ -522,14 +525,16 @@
         Moment now = gateway.now();
         Mark mark = sent.mark;
         Host host = sent.host;
+        int note = remark & 7;
         host.inFlight--;
         host.stranded = Math.min(host.stranded, host.inFlight);
         mark.inFlight--;
         if (!sent.warm) {
-            mark.loading--;
-            loading--;
+            if (--mark.loading == 0) {
+                loading--;
+            }
+            adjustLoadRoom(inv, outcome, elapsed, note, now);
         }
-        int note = remark & 7;
         switch (outcome) {
             case OK -> {
                 host.heardAt = now;
@@ -604,6 +609,23 @@
         }
     }
 
+    /**
+     * Loads that end after the latency objective, are turned away or fail narrow the number of own loads under way;
+     * quick ones widen it. Covers a slow, crowded or stopped store, workers with too many loads or too little
+     * memory, and a flood of functions asked for once. Harms where a load always takes longer than the objective.
+     */
+    private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
+        boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
+        if (slow || outcome == Outcome.FULL || note == 4) {
+            if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
+                loadRoom = Math.max(LOADS_LEAST, Math.min(loadRoom, loading + 1) * ROOM_SHRINK);
+                loadsShrunkAt = now;
+            }
+        } else if (outcome == Outcome.OK && loading + 1 >= loadRoom - 1) {
+            loadRoom += 1 / loadRoom;
+        }
+    }
+
     /** Entries lapse after the told least keep-alive unused. */
     private int believed(Mark mark, Moment now) {
         return mark.instances(now, facts.idleLife());
