Loads on silent hosts are watched too and no longer hold up others

Cause: a load sent to a lost host stayed 'under way' until the client timeout and used up the own loads allowed.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -54,7 +54,7 @@
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
-    /** A believed-warm dispatch out this long, with nothing heard from its host since, makes the host silent. */
+    /** A believed-warm dispatch out this long (a load: JOIN_UNTIL times its usual time, if longer), with nothing heard from its host since, makes the host silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
     /** Share of recent outcomes that are failures above which a host is set aside, and weight of a new outcome. */
     private static final double FAILING_ABOVE = 0.45;
@@ -371,9 +371,8 @@
             host.sentCold.add(now);
         }
         gateway.dispatch(inv.id, host.id(), inv.deadline);
-        if (warm) {
-            gateway.at(now.plus(SILENT_AFTER), () -> watch(inv, sent));
-        }
+        Span patience = warm ? SILENT_AFTER : Span.longer(SILENT_AFTER, loadTime(inv).times(JOIN_UNTIL));
+        gateway.at(now.plus(patience), () -> watch(inv, sent));
     }
 
     // ---- the guards of the rules ----
@@ -482,7 +481,17 @@
         host.stranded = host.inFlight;
     }
 
-    /** Silent: a believed-warm dispatch is out too long and its host has answered nothing since it went. */
+    /** A load that ended, or that a silent host will not end, no longer stands in the way of others. */
+    private void loadOver(Sent sent) {
+        if (sent.loads) {
+            sent.loads = false;
+            if (--sent.mark.loading == 0) {
+                loading--;
+            }
+        }
+    }
+
+    /** Silent: a dispatch is out too long and its host has answered nothing since it went. */
     private void watch(Invocation inv, Sent sent) {
         if (sent.outcome != null) {
             return;
@@ -490,6 +499,7 @@
         Host host = sent.host;
         if (!host.heardAt.isAfter(sent.at)) {
             setAside(host);
+            loadOver(sent);
         }
         if (!inv.over && host.asideTimes > 0) {
             rescue(inv, sent);
@@ -530,9 +540,7 @@
         host.stranded = Math.min(host.stranded, host.inFlight);
         mark.inFlight--;
         if (!sent.warm) {
-            if (--mark.loading == 0) {
-                loading--;
-            }
+            loadOver(sent);
             adjustLoadRoom(inv, outcome, elapsed, note, now);
         }
         switch (outcome) {
--- a/src/main/java/flintlead/state/Sent.java
+++ b/src/main/java/flintlead/state/Sent.java
@@ -12,6 +12,8 @@
     public final Moment at;
     /** Whether the host was believed warm when it went. */
     public final boolean warm;
+    /** Whether it still counts as a load under way. */
+    public boolean loads;
     public Outcome outcome;
 
     public Sent(int number, Host host, Mark mark, Moment at, boolean warm) {
@@ -20,6 +22,7 @@
         this.mark = mark;
         this.at = at;
         this.warm = warm;
+        this.loads = !warm;
     }
 
     public boolean mayHaveRun() {
