--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -68,9 +68,11 @@
     private static final double COLD_SHARE = 0.7;
     /** How fast the gateway's own rate of dispatches is followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
+    /** A load slower than this multiple of the latency objective narrows the loads allowed. */
+    private static final double LOAD_SLOW = 1.5;
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
-    private static final double LOADS_LEAST = 2;
+    private static final double LOADS_LEAST = 4;
     /** So many failed loads in a row make it the store's trouble; the pause grows by itself with each further one. */
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
@@ -623,7 +625,7 @@
      * memory, and a flood of functions asked for once. Harms where a load always takes longer than the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
-        boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
+        boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective().times(LOAD_SLOW));
         if (slow || outcome == Outcome.FULL || note == 4) {
             if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
                 loadRoom = Math.max(LOADS_LEAST, Math.min(loadRoom, loading + 1) * ROOM_SHRINK);
