--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -69,7 +69,7 @@
     /** How fast the gateway's own rate of dispatches is followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
     /** A load slower than this multiple of the latency objective narrows the loads allowed. */
-    private static final double LOAD_SLOW = 1.5;
+    private static final double LOAD_SLOW = 1.0;
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
