The least room of a host is shared among the gateways

Cause: with many gateways each kept two invocations at every host, six gateways twelve on two cores.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -47,7 +47,7 @@
     private static final int MISS_ORDERS = 2;
     /** Own invocations in flight that a host may have before it counts as not roomy: where it starts, and bounds. */
     private static final double ROOM_START = 4;
-    private static final double ROOM_LEAST = 2;
+    private static final double ROOM_LEAST_OF_ALL = 5;
     private static final double ROOM_MOST = 24;
     /** Warm answers that take more than this share of their latency objective on average shrink a host's room. */
     private static final double PACE_AIM = 0.4;
@@ -103,6 +103,7 @@
     private final Random random;
     private final Row[] rows;
     private final Span margin;
+    private final double roomLeast;
 
     /** All hosts ever listed, by id; the ring is those listed and not gone, sorted. */
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
@@ -129,6 +130,7 @@
         this.gateway = gateway;
         this.facts = facts;
         this.random = new Random(seed);
+        this.roomLeast = Math.max(1, ROOM_LEAST_OF_ALL / Math.max(1, facts.gateways()));
         this.margin = facts.tick().times(MARGIN_TICKS);
         double most = 0;
         for (TriggerType type : facts.triggerTypes()) {
@@ -564,7 +566,7 @@
                 host.heardAt = now;
                 host.fullUntil = now.plus(FULL_LASTS);
                 mark.crowdedUntil = host.fullUntil;
-                host.room = Math.max(ROOM_LEAST, Math.min(host.room, host.inFlight));
+                host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight));
             }
             case MISS -> {
                 host.heardAt = now;
@@ -611,7 +613,7 @@
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
         if (host.pace > PACE_AIM) {
             if (now.since(host.shrunkAt).isLongerThan(SHRINK_EVERY)) {
-                host.room = Math.max(ROOM_LEAST, Math.min(host.room, host.inFlight + 1) * ROOM_SHRINK);
+                host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight + 1) * ROOM_SHRINK);
                 host.shrunkAt = now;
             }
         } else if (host.inFlight + 1 >= host.room - 1) {
