--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -1,32 +1,11 @@
 package flintlead;
 
-import flintlead.port.Call;
-import flintlead.port.Deployment;
-import flintlead.port.Dispatcher;
-import flintlead.port.Gateway;
-import flintlead.port.Handle;
-import flintlead.port.HostEntry;
-import flintlead.port.Outcome;
-import flintlead.port.TriggerType;
+import flintlead.port.*;
 import flintlead.port.TriggerType.Effect;
 import flintlead.port.TriggerType.Group;
-import flintlead.state.DecayingRate;
-import flintlead.state.Host;
-import flintlead.state.Mark;
-import flintlead.state.RecentTimes;
-import flintlead.state.Sent;
-import flintlead.state.TokenBucket;
-import flintlead.time.Moment;
-import flintlead.time.Span;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
-import java.util.Set;
-import java.util.TreeMap;
+import flintlead.state.*;
+import flintlead.time.*;
+import java.util.*;
 
 /*
  * Every decision of a flintlead gateway, with its tables and tuned values.
@@ -43,6 +22,9 @@
 
     /** The design's: no load goes where a full answer came this lately. */
     private static final Span FULL_LASTS = Span.ofMillis(1000);
+    /** The wire's notes on an answer, as far as they are read: it began a load; its load failed. */
+    private static final int BEGAN_LOAD = 2;
+    private static final int LOAD_FAILED = 4;
     /** The design's: orders after a miss under way at once in one gateway. */
     private static final int MISS_ORDERS = 2;
     /** Own invocations in flight that a host may have before it counts as not roomy: where it starts, and bounds. */
@@ -54,7 +36,7 @@
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
-    /** A believed-warm dispatch out this long (a load: JOIN_UNTIL times its usual time, if longer), with nothing heard from its host since, makes the host silent. */
+    /** A dispatch out this long (a load: JOIN_UNTIL of its usual time), its host unheard since, makes it silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
     /** Share of recent outcomes that are failures above which a host is set aside, and weight of a new outcome. */
     private static final double FAILING_ABOVE = 0.45;
@@ -68,8 +50,6 @@
     private static final double COLD_SHARE = 0.7;
     /** How fast the gateway's own rate of dispatches is followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
-    /** A load slower than this multiple of the latency objective narrows the loads allowed. */
-    private static final double LOAD_SLOW = 1.0;
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
@@ -96,7 +76,8 @@
     private static final Span LOAD_GUESS = Span.ofMillis(800);
 
     /** What differs by trigger type. */
-    private record Row(double billedValue, Span latencyObjective, Effect effect, Group group, Span window, int dispatches) { }
+    private record Row(double billedValue, Span latencyObjective, Effect effect, Group group, Span window,
+                       int dispatches) { }
 
     private final Gateway gateway;
     private final Deployment facts;
@@ -268,10 +249,10 @@
         if (n == 0) {
             return null;
         }
-        long hash = mix(inv.call.function());
+        long hash = Numbers.mix(inv.call.function());
         int home = (int) Long.remainderUnsigned(hash, n);
         int step = 1 + (int) Long.remainderUnsigned(hash >>> 32, Math.max(1, n - 1));
-        while (gcd(step, n) != 1) {
+        while (Numbers.gcd(step, n) != 1) {
             step++;
         }
         for (int i = 0, at = home; i < n; i++, at = (at + step) % n) {
@@ -520,20 +501,11 @@
                 inv.held = false;
                 held.remove(inv);
             }
-        } else if (facts.cancels() && inv.row.effect() != Effect.NON_IDEMPOTENT && elsewhere(inv)) {
+        } else if (facts.cancels() && inv.row.effect() != Effect.NON_IDEMPOTENT) {
             gateway.cancel(inv.id, sent.number);
         }
     }
 
-    /** Whether some host could take the invocation if its dispatch in flight had ended without proof. */
-    private boolean elsewhere(Invocation inv) {
-        int inFlight = inv.inFlight;
-        inv.inFlight = 0;
-        boolean found = warmest(inv) != null || firstRoomy(inv) != null;
-        inv.inFlight = inFlight;
-        return found;
-    }
-
     /** What each outcome says of its host, and of the function there. */
     private void answered(Invocation inv, Sent sent, Outcome outcome, Span elapsed, int remark, float[] report) {
         Moment now = gateway.now();
@@ -554,7 +526,7 @@
                 host.asideTimes = 0;
                 rate.count(now);
                 loadsFailed = 0;
-                int grown = note == 2 && believed(mark, now) > 0 ? mark.instances + 1 : 1;
+                int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
                 settle(mark, inv.call.lanes(), now);
                 if (sent.warm) {
@@ -571,15 +543,11 @@
             case MISS -> {
                 host.heardAt = now;
                 mark.instances = 0;
-                if (note == 4) {
-                    loadFailed(now);
-                }
             }
             case ERROR -> {
                 host.heardAt = now;
-                if (note == 4) {
+                if (note == LOAD_FAILED) {
                     mark.instances = 0;
-                    loadFailed(now);
                 } else {
                     fail(host);
                 }
@@ -607,7 +575,7 @@
     /** Slow or crowded: the host.pace of warm answers, against their latency objectives, narrows or widens the host.room. */
     private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
         Host host = sent.host;
-        if (!sent.warm || note > 1) {
+        if (!sent.warm || note >= BEGAN_LOAD) {
             return;
         }
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
@@ -623,12 +591,16 @@
 
     /**
      * Loads that end after the latency objective, are turned away or fail narrow the number of own loads under way;
-     * quick ones widen it. Covers a slow, crowded or stopped store, workers with too many loads or too little
-     * memory, and a flood of functions asked for once. Harms where a load always takes longer than the objective.
+     * quick ones widen it; many failed ones in a row stop loads for a while, and then they go one at a time until
+     * one succeeds. Covers a slow, crowded or stopped store, workers with too many loads or too little memory, and a
+     * flood of functions asked for once. Harms where a load always takes longer than the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
-        boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective().times(LOAD_SLOW));
-        if (slow || outcome == Outcome.FULL || note == 4) {
+        boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
+        if (note == LOAD_FAILED && ++loadsFailed >= STORE_FAILS) {
+            noLoadsUntil = now.plus(Span.shorter(STORE_PAUSE.times(loadsFailed - STORE_FAILS + 1), FULL_LASTS));
+        }
+        if (slow || outcome == Outcome.FULL || note == LOAD_FAILED) {
             if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
                 loadRoom = Math.max(LOADS_LEAST, Math.min(loadRoom, loading + 1) * ROOM_SHRINK);
                 loadsShrunkAt = now;
@@ -742,72 +714,18 @@
         // Gateways tell each other nothing: each decides alone.
     }
 
-    /**
-     * The store turns fetches away or has stopped: loads that fail in a row stop further ones for a while, and then
-     * go one at a time until one succeeds. Warm service goes on. A few unlucky loads in a row cost a short hold.
-     */
-    private void loadFailed(Moment now) {
-        if (++loadsFailed >= STORE_FAILS && !now.isBefore(noLoadsUntil)) {
-            noLoadsUntil = now.plus(Span.shorter(STORE_PAUSE.times(loadsFailed - STORE_FAILS + 1), FULL_LASTS));
-        }
-    }
-
     private Span loadTime(Invocation inv) {
         return inv.call.loadHint().micros() > 0 ? inv.call.loadHint() : LOAD_GUESS;
     }
 
-    private static long mix(long x) {
-        x = (x ^ (x >>> 33)) * 0xff51afd7ed558ccdL;
-        x = (x ^ (x >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return x ^ (x >>> 33);
-    }
-
-    private static int gcd(int a, int b) {
-        return b == 0 ? a : gcd(b, a % b);
-    }
-
     // ---- state: one invocation ----
 
-    private final class Invocation implements Handle {
-        final long id;
-        final Call call;
+    private final class Invocation extends Course implements Handle {
         final Row row;
-        final Moment at;
-        final Moment deadline;
-        final List<Sent> dispatches = new ArrayList<>(2);
-        int inFlight;
-        boolean overShare;
-        boolean worthLess;
-        boolean held;
-        boolean ordered;
-        Host orderedAt;
-        Host retryable;
-        boolean over;
 
         Invocation(long id, Call call, Moment now) {
-            this.id = id;
-            this.call = call;
+            super(id, call, now);
             this.row = rows[call.triggerType()];
-            this.at = now;
-            this.deadline = now.plus(call.left());
-        }
-
-        boolean tried(Host host) {
-            for (Sent sent : dispatches) {
-                if (sent.host == host && host != retryable) {
-                    return true;
-                }
-            }
-            return false;
-        }
-
-        Sent firstThatMayHaveRun() {
-            for (Sent sent : dispatches) {
-                if (sent.mayHaveRun()) {
-                    return sent;
-                }
-            }
-            return null;
         }
 
         @Override
@@ -822,10 +740,8 @@
             if (last) {
                 close();
             }
-            if (!over && inFlight == 0) {
-                if (outcome == Outcome.MISS && !orderAfterMiss(sent) || outcome != Outcome.MISS) {
-                    further();
-                }
+            if (!over && inFlight == 0 && (outcome != Outcome.MISS || !orderAfterMiss(sent))) {
+                further();
             }
             release();
         }
@@ -914,11 +830,6 @@
                 release();
             }
         }
-
-        @Override
-        public boolean isOver() {
-            return over && inFlight == 0;
-        }
     }
 
 }
--- /dev/null
+++ b/src/main/java/flintlead/state/Course.java
@@ -0,0 +1,58 @@
+package flintlead.state;
+
+import flintlead.port.Call;
+import flintlead.time.Moment;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What has happened to one invocation since it was taken. */
+public abstract class Course {
+
+    public final long id;
+    public final Call call;
+    public final Moment at;
+    public final Moment deadline;
+    public final List<Sent> dispatches = new ArrayList<>(2);
+    /** Dispatches out. */
+    public int inFlight;
+    /** Beyond its customer's share; worth less than its billed value for that or another reason. */
+    public boolean overShare;
+    public boolean worthLess;
+    public boolean held;
+    /** An order after a miss is under way at that host; a host that it may be sent to once more. */
+    public boolean ordered;
+    public Host orderedAt;
+    public Host retryable;
+    /** It has its final answer, or needs none. */
+    public boolean over;
+
+    protected Course(long id, Call call, Moment at) {
+        this.id = id;
+        this.call = call;
+        this.at = at;
+        this.deadline = at.plus(call.left());
+    }
+
+    public boolean tried(Host host) {
+        for (Sent sent : dispatches) {
+            if (sent.host == host && host != retryable) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The earliest dispatch that is out or did not prove that nothing ran; null if there is none. */
+    public Sent firstThatMayHaveRun() {
+        for (Sent sent : dispatches) {
+            if (sent.mayHaveRun()) {
+                return sent;
+            }
+        }
+        return null;
+    }
+
+    public boolean isOver() {
+        return over && inFlight == 0;
+    }
+}
