--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -11,12 +11,12 @@
  * Every decision of a flintlead gateway, with its tables and tuned values.
  *
  * How it is invoked: one Control a gateway, made with the facts told at startup and a seed. The gateway calls
- * Dispatcher (take, host list, answers to orders and probes) and, for each invocation taken, its Handle; Control
- * calls Gateway. Both interfaces are in flintlead.port. Calls come one at a time and return at once; the only time
+ * Dispatcher (take, host list, answers to orders) and, for each invocation taken, its Handle; Control calls
+ * Gateway. These interfaces are in flintlead.port. Calls come one at a time and return at once; the only time
  * there is is Gateway.now().
  *
- * Reading order: place() is the ordinary path of an invocation, Invocation.ended() what follows each outcome, and
- * the guards of the five rules are mayDispatch, mayThrottle, coldRoom, mayOrder and open.
+ * place() is the ordinary path of an invocation, Invocation.ended() what follows an outcome; the guards of the
+ * five rules are mayDispatch, mayThrottle, open, coldRoom and mayOrder.
  */
 public final class Control implements Dispatcher {
 
@@ -27,18 +27,18 @@
     private static final int LOAD_FAILED = 4;
     /** The design's: orders after a miss under way at once in one gateway. */
     private static final int MISS_ORDERS = 2;
-    /** Own invocations in flight that a host may have before it counts as not roomy: where it starts, and bounds. */
+    /** Own invocations in flight from which a host is not roomy: where that starts, and its bounds. */
     private static final double ROOM_START = 4;
     private static final double ROOM_LEAST_OF_ALL = 5;
     private static final double ROOM_MOST = 24;
-    /** Warm answers that take more than this share of their latency objective on average shrink a host's room. */
+    /** Warm answers slower than this share of their latency objective on average shrink a host's room. */
     private static final double PACE_AIM = 0.4;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
-    /** A dispatch out this long (a load: JOIN_UNTIL of its usual time), its host unheard since, makes it silent. */
+    /** Out this long (a load: JOIN_UNTIL of its time) and the host unheard since: the host is silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
-    /** Share of recent outcomes that are failures above which a host is set aside, and weight of a new outcome. */
+    /** Share of failures among outcomes above which a host is set aside, and the weight of a new outcome. */
     private static final double FAILING_ABOVE = 0.45;
     private static final double FAILING_WEIGHT = 0.2;
     /** A host set aside is tried again after this span, doubled each time in a row up to the longest. */
@@ -53,7 +53,7 @@
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
-    /** So many failed loads in a row make it the store's trouble; the pause grows by itself with each further one. */
+    /** So many failed loads in a row are the store's trouble; the pause grows by itself with each more. */
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
     /** A held invocation waits for own lanes up to this share of a load's time. */
@@ -121,10 +121,10 @@
         for (int i = 0; i < rows.length; i++) {
             TriggerType type = facts.triggerTypes().get(i);
             int cap = Math.max(1, facts.dispatchCap());
-            // The operators' wish: further dispatches go by billed value, here relative to the table's largest.
+            // The operators' wish: further dispatches go by billed value, relative to the table's largest.
             int further = most <= 0 ? cap - 1 : (int) Math.ceil((cap - 1) * type.billedValue() / most);
-            rows[i] = new Row(type.billedValue(), type.latencyObjective(), type.effect(), type.group(), type.window(),
-                Math.min(cap, 1 + further));
+            rows[i] = new Row(type.billedValue(), type.latencyObjective(), type.effect(), type.group(),
+                type.window(), Math.min(cap, 1 + further));
         }
         customers = new TokenBucket[facts.customerQuotas().size()];
         for (int i = 0; i < customers.length; i++) {
@@ -145,7 +145,7 @@
         Invocation inv = new Invocation(id, call, now);
         inv.overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
         inv.worthLess = inv.overShare || call.repeat();
-        // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time as well.
+        // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time too.
         gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
         place(inv);
         return inv;
@@ -186,7 +186,7 @@
                 || !usable(inv, host)) {
                 continue;
             }
-            if (mark.inFlight >= Math.max(1, inv.call.lanes()) * mark.instances
+            if (mark.inFlight >= lanes(inv) * mark.instances
                 || mark.crowdedUntil.isAfter(gateway.now())) {
                 continue;
             }
@@ -200,10 +200,7 @@
         return best;
     }
 
-    /**
-     * Departure: when own lanes of the function come free, or an own load of it ends, sooner than a further load
-     * would, hold instead of loading.
-     */
+    /** Departure: hold when own lanes, or an own load, come free sooner than a further load would end. */
     private boolean laneSoon(Invocation inv) {
         Moment now = gateway.now();
         Span load = loadTime(inv);
@@ -215,10 +212,10 @@
                 continue;
             }
             if (believed(mark, now) > 0) {
-                lanes += Math.max(1, inv.call.lanes()) * mark.instances;
+                lanes += lanes(inv) * mark.instances;
                 first = Span.ZERO;
-            } else if (mark.loading > 0 && now.since(mark.loadingSince).isShorterThan(load.times(JOIN_UNTIL))) {
-                lanes += Math.max(1, inv.call.lanes());
+            } else if (loadsSoon(inv, mark)) {
+                lanes += lanes(inv);
                 Span left = Span.longer(Span.ZERO, load.minus(now.since(mark.loadingSince)));
                 first = first == null ? left : Span.shorter(first, left);
             }
@@ -234,15 +231,22 @@
     private Host underWay(Invocation inv) {
         for (Host host : ring) {
             Mark mark = host.marks.get(inv.call.function());
-            if (mark != null && mark.loading > 0 && mark.inFlight < Math.max(1, inv.call.lanes())
-                && gateway.now().since(mark.loadingSince).isShorterThan(loadTime(inv).times(JOIN_UNTIL))
-                && usable(inv, host)) {
+            if (mark != null && loadsSoon(inv, mark) && mark.inFlight < lanes(inv) && usable(inv, host)) {
                 return host;
             }
         }
         return null;
     }
 
+    private boolean loadsSoon(Invocation inv, Mark mark) {
+        Span patience = loadTime(inv).times(JOIN_UNTIL);
+        return mark.loading > 0 && gateway.now().since(mark.loadingSince).isShorterThan(patience);
+    }
+
+    private static double lanes(Invocation inv) {
+        return Math.max(1, inv.call.lanes());
+    }
+
     /** The design's walk: from the function's home over the sorted ids, the same from every gateway. */
     private Host firstRoomy(Invocation inv) {
         int n = ring.length;
@@ -269,7 +273,8 @@
     }
 
     private boolean mayLoad(Invocation inv, Host host) {
-        if (loading >= loadRoom || loadsFailed >= STORE_FAILS && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
+        boolean storeFails = loadsFailed >= STORE_FAILS;
+        if (loading >= loadRoom || storeFails && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
             return false;
         }
         Mark mark = host.marks.get(inv.call.function());
@@ -309,8 +314,8 @@
     }
 
     /**
-     * Releases held invocations oldest first; those past their customer's share, and clients' repeats, whose latency
-     * objective ran from the first try and has mostly passed, only when no other can go.
+     * Releases held invocations by billed value, then oldest first. Those past their customer's share, and
+     * repeats, whose latency objective ran from the first try, count for a part of it.
      */
     private void release() {
         if (held.isEmpty()) {
@@ -405,9 +410,9 @@
     }
 
     /**
-     * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm host
-     * takes is not told; what the average host answered this gateway is a floor for its part of that. Answers are
-     * counted, not dispatches: those grow without bound when everything fails and is sent again.
+     * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm
+     * one takes is not told; what the average host answered this gateway is a floor for its part of that. Answers
+     * count, not dispatches: those grow without bound when everything fails and is sent again.
      */
     private boolean coldRoom(Host host) {
         Moment now = gateway.now();
@@ -433,14 +438,9 @@
         return orders.countFrom(from) + 1 <= facts.freeLoads() + facts.loadShare() * taken.countFrom(from);
     }
 
-    private void order(Host host, long fn, int copies) {
-        orders.add(gateway.now());
-        gateway.load(host.id(), fn, copies);
-    }
-
     // ---- health, by symptom ----
 
-    /** A host set aside takes nothing, then one invocation as a trial; most hosts bad at once means none is. */
+    /** A host set aside takes nothing, then one invocation as a trial; with most hosts bad, none is. */
     private boolean aside(Host host) {
         if (host.asideTimes == 0 || ring.length == 0) {
             return false;
@@ -507,7 +507,7 @@
     }
 
     /** What each outcome says of its host, and of the function there. */
-    private void answered(Invocation inv, Sent sent, Outcome outcome, Span elapsed, int remark, float[] report) {
+    private void answered(Invocation inv, Sent sent, Outcome outcome, Span elapsed, int remark) {
         Moment now = gateway.now();
         Mark mark = sent.mark;
         Host host = sent.host;
@@ -528,7 +528,7 @@
                 loadsFailed = 0;
                 int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
-                settle(mark, inv.call.lanes(), now);
+                settle(mark, lanes(inv), now);
                 if (sent.warm) {
                     served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
                 }
@@ -572,7 +572,7 @@
         }
     }
 
-    /** Slow or crowded: the host.pace of warm answers, against their latency objectives, narrows or widens the host.room. */
+    /** Slow or crowded: the pace of warm answers against their objectives narrows or widens a host's room. */
     private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
         Host host = sent.host;
         if (!sent.warm || note >= BEGAN_LOAD) {
@@ -590,15 +590,16 @@
     }
 
     /**
-     * Loads that end after the latency objective, are turned away or fail narrow the number of own loads under way;
-     * quick ones widen it; many failed ones in a row stop loads for a while, and then they go one at a time until
-     * one succeeds. Covers a slow, crowded or stopped store, workers with too many loads or too little memory, and a
-     * flood of functions asked for once. Harms where a load always takes longer than the objective.
+     * Loads that end after the latency objective, are turned away or fail narrow the own loads under way; quick
+     * ones widen them; many failed in a row stop loads for a while, then they go one at a time until one succeeds.
+     * Covers a slow, crowded or stopped store, workers with too many loads or too little memory, floods of
+     * functions asked for once. Harms where a load always takes longer than the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
         boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
         if (note == LOAD_FAILED && ++loadsFailed >= STORE_FAILS) {
-            noLoadsUntil = now.plus(Span.shorter(STORE_PAUSE.times(loadsFailed - STORE_FAILS + 1), FULL_LASTS));
+            Span pause = STORE_PAUSE.times(loadsFailed - STORE_FAILS + 1);
+            noLoadsUntil = now.plus(Span.shorter(pause, FULL_LASTS));
         }
         if (slow || outcome == Outcome.FULL || note == LOAD_FAILED) {
             if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
@@ -623,7 +624,8 @@
     /** Instances beyond what was used at once within a keep-alive lapse as well. */
     private void settle(Mark mark, double lanes, Moment now) {
         if (now.since(mark.peakSince).isLongerThan(facts.idleLife())) {
-            mark.instances = Math.min(mark.instances, Math.max(1, (int) Math.ceil(mark.peak / Math.max(1, lanes))));
+            int used = (int) Math.ceil(mark.peak / lanes);
+            mark.instances = Math.min(mark.instances, Math.max(1, used));
             mark.peak = mark.inFlight;
             mark.peakSince = now;
         }
@@ -633,14 +635,8 @@
 
     @Override
     public void hostsAre(List<HostEntry> entries) {
-        Set<Long> named = new HashSet<>();
-        for (HostEntry entry : entries) {
-            named.add(entry.host());
-        }
         for (Host host : hosts.values()) {
-            if (!named.contains(host.id())) {
-                host.listed = false;
-            }
+            host.listed = false;
         }
         hostsChanged(entries);
     }
@@ -663,7 +659,7 @@
         release();
     }
 
-    /** A new start, under the same id too, stands with nothing loaded and no past; what was out there is lost. */
+    /** A new start, under the same id too, has nothing loaded and no past. */
     private void begun(Host host) {
         host.marks.clear();
         host.failing = 0;
@@ -704,16 +700,6 @@
         release();
     }
 
-    @Override
-    public void probed(long id, Outcome outcome, Span elapsed, float[] report) {
-        // No probes are sent: every sign of health so far comes with the dispatches themselves.
-    }
-
-    @Override
-    public void heard(int from, byte[] words) {
-        // Gateways tell each other nothing: each decides alone.
-    }
-
     private Span loadTime(Invocation inv) {
         return inv.call.loadHint().micros() > 0 ? inv.call.loadHint() : LOAD_GUESS;
     }
@@ -729,14 +715,15 @@
         }
 
         @Override
-        public void ended(int number, Outcome outcome, Span elapsed, boolean last, int remark, float[] report) {
+        public void ended(int number, Outcome outcome, Span elapsed, boolean last, int remark,
+                          float[] report) {
             Sent sent = dispatches.get(number);
             if (sent.outcome != null) {
                 return;
             }
             sent.outcome = outcome;
             inFlight--;
-            answered(this, sent, outcome, elapsed, remark, report);
+            answered(this, sent, outcome, elapsed, remark);
             if (last) {
                 close();
             }
@@ -748,19 +735,20 @@
 
         /** The design's: after a miss hold, order one instance there, resend on ok, else walk on. */
         private boolean orderAfterMiss(Sent sent) {
-            if (facts.loadsWhenAbsent() || ordering.size() >= MISS_ORDERS || orderRuns(sent.host, call.function())
-                || !mayOrder() || !open(sent.host) || dispatches.size() >= row.dispatches()) {
+            if (facts.loadsWhenAbsent() || ordering.size() >= MISS_ORDERS || !mayOrder() || !open(sent.host)
+                || orderRuns(sent.host, call.function()) || dispatches.size() >= row.dispatches()) {
                 return false;
             }
             ordering.add(this);
             ordered = true;
             orderedAt = sent.host;
-            order(sent.host, call.function(), 1);
+            orders.add(gateway.now());
+            gateway.load(sent.host.id(), call.function(), 1);
             hold(this);
             return true;
         }
 
-        /** After a dispatch that ended without an answer: again where the rules allow, else the final answer. */
+        /** After a dispatch ended without an answer: again where the rules allow, else the final answer. */
         private void further() {
             boolean sensible = dispatches.size() < row.dispatches()
                 && gateway.now().plus(margin).isBefore(deadline);
@@ -786,7 +774,8 @@
                 if (!overShare && call.customer() < customers.length) {
                     customers[call.customer()].giveBack();
                 }
-                gateway.throttle(id, facts.retryAfter() ? Span.shorter(RETRY_IN, facts.maxRetryAfter()) : Span.ZERO);
+                Span wait = facts.retryAfter() ? Span.shorter(RETRY_IN, facts.maxRetryAfter()) : Span.ZERO;
+                gateway.throttle(id, wait);
             } else {
                 gateway.fail(id);
             }
@@ -817,7 +806,7 @@
 
         @Override
         public void started(int number, Span elapsed) {
-            // A streamed answer belongs to its client: it is over for the decisions, its outcome still to come.
+            // A streamed answer belongs to its client: it is over here, its outcome still to come.
             over = true;
             held = false;
             dispatches.get(number).host.heardAt = gateway.now();
--- a/src/main/java/flintlead/port/Dispatcher.java
+++ b/src/main/java/flintlead/port/Dispatcher.java
@@ -19,7 +19,11 @@
 
     void loaded(long host, long function, Outcome outcome, Span elapsed, int copies);
 
-    void probed(long host, Outcome outcome, Span elapsed, float[] report);
+    /** The answer to a probe; decisions that send none need not listen. */
+    default void probed(long host, Outcome outcome, Span elapsed, float[] report) {
+    }
 
-    void heard(int gateway, byte[] words);
+    /** A message from another gateway; decisions that tell nothing need not listen. */
+    default void heard(int gateway, byte[] words) {
+    }
 }
