--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -15,8 +15,8 @@
  * Gateway. These interfaces are in flintlead.port. Calls come one at a time and return at once; the only time
  * there is is Gateway.now().
  *
- * place() is the ordinary path of an invocation, Invocation.ended() what follows an outcome; the guards of the
- * five rules are mayDispatch, mayThrottle, open, coldRoom and mayOrder.
+ * place() is the ordinary path of an invocation, Invocation.ended() what follows an outcome; the guards of
+ * the five rules are mayDispatch, mayThrottle, open, coldRoom and mayOrder.
  */
 public final class Control implements Dispatcher {
 
@@ -410,8 +410,8 @@
     }
 
     /**
-     * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm
-     * one takes is not told; what the average host answered this gateway is a floor for its part of that. Answers
+     * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm one
+     * takes is not told; what the average host answered this gateway is a floor for its part of that. Answers
      * count, not dispatches: those grow without bound when everything fails and is sent again.
      */
     private boolean coldRoom(Host host) {
@@ -591,7 +591,7 @@
 
     /**
      * Loads that end after the latency objective, are turned away or fail narrow the own loads under way; quick
-     * ones widen them; many failed in a row stop loads for a while, then they go one at a time until one succeeds.
+     * ones widen them; many failed in a row stop them for a while, then they go one at a time until one succeeds.
      * Covers a slow, crowded or stopped store, workers with too many loads or too little memory, floods of
      * functions asked for once. Harms where a load always takes longer than the objective.
      */
