--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -32,7 +32,7 @@
     private static final double ROOM_LEAST_OF_ALL = 5;
     private static final double ROOM_MOST = 24;
     /** Warm answers slower than this share of their latency objective on average shrink a host's room. */
-    private static final double PACE_AIM = 0.4;
+    private static final double PACE_AIM = 0.35;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
@@ -410,7 +410,7 @@
     }
 
     /**
-     * Rule 4: a cold host takes at most a share of what all gateways may send it in any window. What a warm one
+     * Rule 4: a cold host takes at most a share of what all gateways may send it in a window. What a warm one
      * takes is not told; what the average host answered this gateway is a floor for its part of that. Answers
      * count, not dispatches: those grow without bound when everything fails and is sent again.
      */
@@ -590,8 +590,8 @@
     }
 
     /**
-     * Loads that end after the latency objective, are turned away or fail narrow the own loads under way; quick
-     * ones widen them; many failed in a row stop them for a while, then they go one at a time until one succeeds.
+     * Loads that end after the latency objective, are turned away or fail narrow the own loads under way, quick
+     * ones widen them. Many failed in a row stop them a while, then they go one by one until one succeeds.
      * Covers a slow, crowded or stopped store, workers with too many loads or too little memory, floods of
      * functions asked for once. Harms where a load always takes longer than the objective.
      */
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -139,15 +139,44 @@
         assertTrue(sent < 20, "loads sent: " + sent);
     }
 
-    /** A restarted host is empty, whatever it held: its marks must not draw the warm search. */
+    /** A restarted host is empty, whatever it held: the next invocation there is a load, and known to be one. */
     @Example
     void aRestartVoidsTheMarks() {
         long home = served(fleet, 0, 42).outs.get(0).host;
         fleet.list(fleet.entry(home, HostEntry.State.READY, fleet.now().micros()));
-        fleet.list(fleet.entry(home, HostEntry.State.DRAINING, fleet.now().micros()));
+        assertEquals(home, fleet.take(0, 42, 2000).outs.get(0).host);
         assertNotEquals(home, fleet.take(0, 42, 2000).outs.get(0).host);
     }
 
+    /** Rule 5: the ration counts every order in its window; past it the invocation walks on instead. */
+    @Example
+    void noOrderPastTheRation() {
+        Fleet miss = new Fleet(Fleet.facts(false, true, 1), 5);
+        Fleet.Taken first = miss.take(1, 42, 2000);
+        Fleet.Taken second = miss.take(1, 43, 2000);
+        miss.end(first.outs.get(0), Outcome.MISS);
+        miss.end(second.outs.get(0), Outcome.MISS);
+        assertEquals(1, miss.orders.size());
+        assertEquals(2, second.outs.size());
+    }
+
+    /** A load sent to a lost host once stayed under way until the client timeout and held up all others. */
+    @Example
+    void loadsOnASilentHostDoNotHoldUpOthers() {
+        int stuck = 0;
+        for (int i = 0; stuck < 4; i++) {
+            Fleet.Taken taken = fleet.take(0, i, 6000);
+            if (taken.outs.get(0).host == 101) {
+                stuck++;
+            } else {
+                fleet.end(taken.outs.get(0), Outcome.FULL);
+                fleet.pass(1100);
+            }
+        }
+        fleet.pass(2000);
+        assertTrue(fleet.take(0, 999, 6000).outs.size() == 1);
+    }
+
     /** A host that answers nothing is set aside, and what it holds is sent elsewhere where rule 2 allows it. */
     @Example
     void aSilentHostLosesItsInvocations() {
--- a/src/test/java/flintlead/Fleet.java
+++ b/src/test/java/flintlead/Fleet.java
@@ -98,7 +98,7 @@
         return new Deployment(0, gateways, 0, Span.ofMillis(2), false, types, List.of(40.0, 20.0),
             Span.ofMillis(8), Span.ZERO, 0.25, Span.ofMillis(17000), 2, Span.ofMillis(1500), 3, true, secondCopies,
             true, false, true, Span.ofMillis(500), loadsWhenAbsent, true, true, false, Span.ofMillis(8000),
-            Span.ofMillis(10000), Span.ofMillis(5000), 2, 0.3, List.of("waiting"));
+            Span.ofMillis(10000), Span.ofMillis(5000), 1, 0.1, List.of("waiting"));
     }
 
     private static TriggerType type(double value, Effect effect, Group group) {
