Hold for a lane or load only when it comes within the hold allowed

Cause: an invocation was held for a lane 800 ms off and given up after 280 ms, with idle hosts beside it.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -224,7 +224,8 @@
             return false;
         }
         int ahead = heldOf.getOrDefault(inv.call.function(), 0);
-        return first.plus(served.times((ahead + 1) / lanes)).isShorterThan(load.times(LANE_WAIT));
+        Span hold = inv.row.latencyObjective().times(HOLD_SHARE).minus(now.since(inv.at));
+        return first.plus(served.times((ahead + 1) / lanes)).isShorterThan(Span.shorter(hold, load.times(LANE_WAIT)));
     }
 
     /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
