--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -56,8 +56,8 @@
     /** So many failed loads in a row are the store's trouble; the pause grows by itself with each more. */
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
-    /** A held invocation waits for own lanes up to this share of a load's time. */
-    private static final double LANE_WAIT = 1.0;
+    /** Given up, against answered, from which a gateway is pressed. */
+    private static final double PRESSED = 0.15;
     private static final Span SERVED_GUESS = Span.ofMillis(200);
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
@@ -106,6 +106,7 @@
     private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
     private final DecayingRate rate = new DecayingRate(RATE_WINDOW);
+    private final DecayingRate givenUp = new DecayingRate(RATE_WINDOW);
 
     public Control(Gateway gateway, Deployment facts, long seed) {
         this.gateway = gateway;
@@ -225,7 +226,13 @@
         }
         int ahead = heldOf.getOrDefault(inv.call.function(), 0);
         Span hold = inv.row.latencyObjective().times(HOLD_SHARE).minus(now.since(inv.at));
-        return first.plus(served.times((ahead + 1) / lanes)).isShorterThan(Span.shorter(hold, load.times(LANE_WAIT)));
+        Span wait = first.plus(served.times((ahead + 1) / lanes));
+        return wait.isShorterThan(load) && (pressed() || wait.isShorterThan(hold));
+    }
+
+    /** Much is given up lately: there is too little room, and a further load would take more of it. */
+    private boolean pressed() {
+        return givenUp.perSecond(gateway.now()) > PRESSED * rate.perSecond(gateway.now());
     }
 
     /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
@@ -769,6 +776,7 @@
             if (over) {
                 return;
             }
+            givenUp.count(gateway.now());
             boolean harmless = mayThrottle(this);
             close();
             if (harmless) {
