--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -57,7 +57,7 @@
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
     /** Given up, against answered, from which a gateway is pressed. */
-    private static final double PRESSED = 0.15;
+    private static final double PRESSED = 0.25;
     private static final Span SERVED_GUESS = Span.ofMillis(200);
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
@@ -154,27 +154,20 @@
 
     /** The ordinary path, top to bottom. Gives back false when the invocation is (still) held. */
     private boolean place(Invocation inv) {
-        Host warm = warmest(inv);
-        if (warm != null) {
-            send(inv, warm, true);
-            return true;
+        Host host = warmest(inv);
+        boolean warm = host != null;
+        if (!warm) {
+            host = underWay(inv);
         }
-        Host joined = underWay(inv);
-        if (joined != null) {
-            send(inv, joined, false);
-            return true;
+        if (host == null && !laneSoon(inv)) {
+            host = firstRoomy(inv);
         }
-        if (laneSoon(inv)) {
+        if (host == null) {
             hold(inv);
             return false;
         }
-        Host roomy = firstRoomy(inv);
-        if (roomy != null) {
-            send(inv, roomy, false);
-            return true;
-        }
-        hold(inv);
-        return false;
+        send(inv, host, warm);
+        return true;
     }
 
     /** The design's warm search: all hosts, room in lanes, fewest own in flight, ties at random. */
@@ -450,7 +443,7 @@
 
     /** A host set aside takes nothing, then one invocation as a trial; with most hosts bad, none is. */
     private boolean aside(Host host) {
-        if (host.asideTimes == 0 || ring.length == 0) {
+        if (host.asideTimes == 0) {
             return false;
         }
         int bad = 0;
@@ -599,9 +592,9 @@
 
     /**
      * Loads that end after the latency objective, are turned away or fail narrow the own loads under way, quick
-     * ones widen them. Many failed in a row stop them a while, then they go one by one until one succeeds.
-     * Covers a slow, crowded or stopped store, workers with too many loads or too little memory, floods of
-     * functions asked for once. Harms where a load always takes longer than the objective.
+     * ones widen them. Many failed in a row stop them; then they go one at a time until one succeeds. Covers a
+     * slow or stopped store, crowded loaders, short memory, floods of functions asked for once. Harms where a
+     * load always outlasts the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
         boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
