--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -279,7 +279,8 @@
             return false;
         }
         Mark mark = host.marks.get(inv.call.function());
-        return !gateway.now().isBefore(host.fullUntil) && (mark == null || mark.loading == 0)
+        return !gateway.now().isBefore(host.fullUntil)
+            && (mark == null || mark.loading == 0 && believed(mark, gateway.now()) == 0)
             && !orderRuns(host, inv.call.function());
     }
 
@@ -370,10 +371,8 @@
 
     /** Rule 2: whether another dispatch of this invocation may go to that host now. */
     private boolean mayDispatch(Invocation inv, Host host) {
-        if (inv.over || inv.dispatches.size() >= inv.row.dispatches()) {
-            return false;
-        }
-        if (inv.inFlight > 0 && !facts.secondCopies()) {
+        if (inv.over || inv.dispatches.size() >= inv.row.dispatches()
+            || inv.inFlight > 0 && !facts.secondCopies()) {
             return false;
         }
         Sent first = inv.firstThatMayHaveRun();
@@ -591,10 +590,10 @@
     }
 
     /**
-     * Loads that end after the latency objective, are turned away or fail narrow the own loads under way, quick
-     * ones widen them. Many failed in a row stop them; then they go one at a time until one succeeds. Covers a
-     * slow or stopped store, crowded loaders, short memory, floods of functions asked for once. Harms where a
-     * load always outlasts the objective.
+     * Loads that end after the objective, are turned away or fail narrow the own loads under way, quick ones
+     * widen them. Many failed in a row stop them; then they go one at a time until one succeeds. Covers a slow
+     * or stopped store, crowded loaders, short memory, floods of functions asked for once. Harms where a load
+     * always outlasts the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
         boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
@@ -701,7 +700,7 @@
         release();
     }
 
-    private Span loadTime(Invocation inv) {
+    private static Span loadTime(Invocation inv) {
         return inv.call.loadHint().micros() > 0 ? inv.call.loadHint() : LOAD_GUESS;
     }
 
