--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -306,15 +306,13 @@
         }
         if (!pulsing) {
             pulsing = true;
-            gateway.at(gateway.now().plus(PULSE), this::pulse);
+            gateway.at(gateway.now().plus(PULSE), () -> {
+                pulsing = false;
+                release();
+            });
         }
     }
 
-    private void pulse() {
-        pulsing = false;
-        release();
-    }
-
     /**
      * Releases held invocations by billed value, then oldest first. Those past their customer's share, and
      * repeats, whose latency objective ran from the first try, count for a part of it.
@@ -591,7 +589,7 @@
 
     /**
      * Loads that end after the objective, are turned away or fail narrow the own loads under way, quick ones
-     * widen them. Many failed in a row stop them; then they go one at a time until one succeeds. Covers a slow
+     * widen them. Many failed in a row stop them; then they go one by one until one succeeds. Covers a slow
      * or stopped store, crowded loaders, short memory, floods of functions asked for once. Harms where a load
      * always outlasts the objective.
      */
@@ -680,13 +678,9 @@
     @Override
     public void loaded(long id, long fn, Outcome outcome, Span elapsed, int copies) {
         Host host = hosts.get(id);
-        if (host == null) {
-            return;
-        }
         Moment now = gateway.now();
-        Mark mark = host.mark(fn);
         if (outcome == Outcome.OK) {
-            stands(mark, Math.max(1, copies), now);
+            stands(host.mark(fn), Math.max(1, copies), now);
         } else if (outcome == Outcome.FULL) {
             host.fullUntil = now.plus(FULL_LASTS);
         }
@@ -790,8 +784,9 @@
         /** Not even a warm answer would meet the latency objective or the client timeout any more. */
         boolean hopeless() {
             Moment answered = gateway.now().plus(served);
+            Span hold = row.latencyObjective().times(HOLD_SHARE);
             return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()))
-                || gateway.now().since(at).isLongerThan(row.latencyObjective().times(HOLD_SHARE));
+                || orderedAt == null && gateway.now().since(at).isLongerThan(hold);
         }
 
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -78,6 +78,7 @@
         Fleet.Taken taken = miss.take(0, 42, 2000);
         miss.end(taken.outs.get(0), Outcome.MISS);
         assertEquals(1, miss.orders.size());
+        miss.pass(600);
         miss.answerOrder(Outcome.OK);
         assertEquals(taken.outs.get(0).host, taken.outs.get(1).host);
     }
