The cold budget follows the best rate answered so far, share 0.8

Cause: in a deploy most of the fleet is cold, answers fall, and the budget fell with them, so cold hosts stayed idle while half was throttled. It covers any loss of answers while hosts are cold; it harms where the fleet shrinks for good.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -47,7 +47,7 @@
     /** With more than this share of the hosts looking bad it is not the hosts: none is left out. */
     private static final double ASIDE_MOST = 0.5;
     /** Share of the gateway's even part of a cold host's budget that is used. */
-    private static final double COLD_SHARE = 0.7;
+    private static final double COLD_SHARE = 0.8;
     /** How fast the gateway's own rate of dispatches is followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
     /** Own loads under way: where the number starts, and its least. */
@@ -106,6 +106,7 @@
     private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
     private final DecayingRate rate = new DecayingRate(RATE_WINDOW);
+    private double bestRate;
     private final DecayingRate givenUp = new DecayingRate(RATE_WINDOW);
 
     public Control(Gateway gateway, Deployment facts, long seed) {
@@ -409,7 +410,7 @@
 
     /**
      * Rule 4: a cold host takes at most a share of what all gateways may send it in a window. What a warm one
-     * takes is not told; what the average host answered this gateway is a floor for its part of that. Answers
+     * takes is not told; what the average host once answered this gateway is a floor for its part. Answers
      * count, not dispatches: those grow without bound when everything fails and is sent again.
      */
     private boolean coldRoom(Host host) {
@@ -419,7 +420,7 @@
         }
         double age = now.since(host.entry.startedAt()).over(facts.warmAfter());
         double part = facts.coldFrom() + (1 - facts.coldFrom()) * Math.max(0, Math.min(1, age));
-        double each = rate.perSecond(now) / Math.max(1, ring.length);
+        double each = bestRate / Math.max(1, ring.length);
         double budget = COLD_SHARE * facts.fallMultiple() * part * each * facts.overloadFor().micros() / 1e6;
         return host.sentCold.countFrom(now.minus(facts.overloadFor())) < Math.max(1, Math.floor(budget));
     }
@@ -523,6 +524,7 @@
                 host.failing -= host.failing * FAILING_WEIGHT;
                 host.asideTimes = 0;
                 rate.count(now);
+                bestRate = Math.max(bestRate, rate.perSecond(now));
                 loadsFailed = 0;
                 int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -127,6 +127,21 @@
             .filter(out -> out.host == 102).count() <= 1);
     }
 
+    /** While much failed the budget once shrank with the answers, and cold hosts stayed idle in a deploy. */
+    @Example
+    void aLullDoesNotNarrowTheColdBudget() {
+        for (int i = 0; i < 300; i++) {
+            fleet.end(fleet.take(0, i % 20, 2000).outs.get(0), Outcome.OK);
+            fleet.pass(10);
+        }
+        fleet.pass(30_000);
+        fleet.list(fleet.entry(102, HostEntry.State.READY, fleet.now().micros()));
+        for (int i = 0; i < 40; i++) {
+            fleet.end(fleet.take(0, i, 2000).outs.get(0), Outcome.OK);
+        }
+        assertTrue(fleet.invs.values().stream().skip(300).filter(inv -> inv.outs.get(0).host == 102).count() > 1);
+    }
+
     /** Loads that fail in a row were once repeated at full pace against a store that had stopped. */
     @Example
     void failedLoadsPauseFurtherOnes() {
