--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -115,10 +115,7 @@
         this.random = new Random(seed);
         this.roomLeast = Math.max(1, ROOM_LEAST_OF_ALL / Math.max(1, facts.gateways()));
         this.margin = facts.tick().times(MARGIN_TICKS);
-        double most = 0;
-        for (TriggerType type : facts.triggerTypes()) {
-            most = Math.max(most, type.billedValue());
-        }
+        double most = facts.triggerTypes().stream().mapToDouble(TriggerType::billedValue).max().orElse(0);
         rows = new Row[facts.triggerTypes().size()];
         for (int i = 0; i < rows.length; i++) {
             TriggerType type = facts.triggerTypes().get(i);
@@ -529,6 +526,10 @@
                 int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
                 settle(mark, lanes(inv), now);
+                // Crowded: other gateways fill the lanes that this one believes free.
+                if (facts.tellsCrowd() && remark >> 3 > lanes(inv) * mark.instances) {
+                    mark.crowdedUntil = now.plus(served);
+                }
                 if (sent.warm) {
                     served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
                 }
