Tidy-up: one look-up for orders, one end of the hold, no message built per event

The order under way was looked up in two places and kept as a flag as well; the end of a hold was worked out twice; whether a host was heard since a dispatch, too; the adapter set the clock twice and built an error text for every event it read. Stale comments corrected.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -48,7 +48,7 @@
     private static final double ASIDE_MOST = 0.5;
     /** Share of the gateway's even part of a cold host's budget that is used. */
     private static final double COLD_SHARE = 0.8;
-    /** How fast the gateway's own rate of dispatches is followed. */
+    /** How fast the gateway's own rates, of answers and of giving up, are followed. */
     private static final Span RATE_WINDOW = Span.ofMillis(5000);
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
@@ -98,7 +98,7 @@
     private Span served = SERVED_GUESS;
     /** Invocations whose order after a miss is under way. */
     private final List<Invocation> ordering = new ArrayList<>();
-    /** Dispatches under way that may load, and loads that failed since one last went well. */
+    /** Own loads under way, and loads that failed since one last went well. */
     private int loading;
     private int loadsFailed;
     private double loadRoom = LOADS_START;
@@ -216,9 +216,8 @@
             return false;
         }
         int ahead = heldOf.getOrDefault(inv.call.function(), 0);
-        Span hold = inv.row.latencyObjective().times(HOLD_SHARE).minus(now.since(inv.at));
         Span wait = first.plus(served.times((ahead + 1) / lanes));
-        return wait.isShorterThan(load) && (pressed() || wait.isShorterThan(hold));
+        return wait.isShorterThan(load) && (pressed() || now.plus(wait).isBefore(inv.holdEnd()));
     }
 
     /** Much is given up lately: there is too little room, and a further load would take more of it. */
@@ -279,16 +278,17 @@
         Mark mark = host.marks.get(inv.call.function());
         return !gateway.now().isBefore(host.fullUntil)
             && (mark == null || mark.loading == 0 && believed(mark, gateway.now()) == 0)
-            && !orderRuns(host, inv.call.function());
+            && ordered(host, inv.call.function()) == null;
     }
 
-    private boolean orderRuns(Host host, long fn) {
+    /** The invocation whose order for the function at the host is under way; null if there is none. */
+    private Invocation ordered(Host host, long fn) {
         for (Invocation inv : ordering) {
             if (inv.orderedAt == host && inv.call.function() == fn) {
-                return true;
+                return inv;
             }
         }
-        return false;
+        return null;
     }
 
     /** Whether the rules, the host's health and the invocation's own past allow a dispatch there now. */
@@ -329,7 +329,7 @@
                 continue;
             }
             inv.held = false;
-            if (inv.ordered) {
+            if (ordering.contains(inv)) {
                 hold(inv);
             } else if (inv.hopeless()) {
                 inv.giveUp();
@@ -478,7 +478,7 @@
             return;
         }
         Host host = sent.host;
-        if (!host.heardAt.isAfter(sent.at)) {
+        if (sent.hostUnheard()) {
             setAside(host);
             loadOver(sent);
         }
@@ -558,7 +558,7 @@
                 setAside(host);
             }
             case TIMEOUT -> {
-                if (!host.heardAt.isAfter(sent.at)) {
+                if (sent.hostUnheard()) {
                     fail(host);
                 }
             }
@@ -687,12 +687,10 @@
         } else if (outcome == Outcome.FULL) {
             host.fullUntil = now.plus(FULL_LASTS);
         }
-        for (Invocation inv : List.copyOf(ordering)) {
-            if (inv.orderedAt == host && inv.call.function() == fn) {
-                ordering.remove(inv);
-                inv.ordered = false;
-                inv.retryable = outcome == Outcome.OK ? host : null;
-            }
+        Invocation inv = ordered(host, fn);
+        if (inv != null) {
+            ordering.remove(inv);
+            inv.retryable = outcome == Outcome.OK ? host : null;
         }
         release();
     }
@@ -733,11 +731,10 @@
         /** The design's: after a miss hold, order one instance there, resend on ok, else walk on. */
         private boolean orderAfterMiss(Sent sent) {
             if (facts.loadsWhenAbsent() || ordering.size() >= MISS_ORDERS || !mayOrder() || !open(sent.host)
-                || orderRuns(sent.host, call.function()) || dispatches.size() >= row.dispatches()) {
+                || ordered(sent.host, call.function()) != null || dispatches.size() >= row.dispatches()) {
                 return false;
             }
             ordering.add(this);
-            ordered = true;
             orderedAt = sent.host;
             orders.add(gateway.now());
             gateway.load(sent.host.id(), call.function(), 1);
@@ -784,12 +781,15 @@
             return worthLess ? row.billedValue * REPEAT_WORTH : row.billedValue;
         }
 
+        Moment holdEnd() {
+            return at.plus(row.latencyObjective().times(HOLD_SHARE));
+        }
+
         /** Not even a warm answer would meet the latency objective or the client timeout any more. */
         boolean hopeless() {
             Moment answered = gateway.now().plus(served);
-            Span hold = row.latencyObjective().times(HOLD_SHARE);
             return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()))
-                || orderedAt == null && gateway.now().since(at).isLongerThan(hold);
+                || orderedAt == null && gateway.now().isAfter(holdEnd());
         }
 
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
@@ -819,5 +819,4 @@
             }
         }
     }
-
 }
--- a/src/main/java/flintlead/benchlink/BenchLink.java
+++ b/src/main/java/flintlead/benchlink/BenchLink.java
@@ -84,13 +84,12 @@
             throws MalformedFrameException {
         for (int n = 0; n < records; n++) {
             int start = events.position();
-            String where = "batch " + sequence + ", record " + n + " at offset " + start + ": ";
             try {
                 event(events, clock);
             } catch (BufferUnderflowException e) {
-                throw new MalformedFrameException(where + "it is cut short");
+                throw malformed(sequence, n, start, "it is cut short");
             } catch (IllegalArgumentException e) {
-                throw new MalformedFrameException(where + e.getMessage());
+                throw malformed(sequence, n, start, e.getMessage());
             }
         }
         if (events.hasRemaining()) {
@@ -99,6 +98,11 @@
         }
     }
 
+    private static MalformedFrameException malformed(int sequence, int record, int offset, String what) {
+        return new MalformedFrameException("batch " + sequence + ", record " + record + " at offset " + offset + ": "
+            + what);
+    }
+
     private void event(ByteBuffer in, Moment clock) {
         int code = in.get() & 0xff;
         if (code == 11) {
@@ -132,7 +136,7 @@
 
     /** Reads the fields of one event and gives back the call they go into, so that its failures tell apart. */
     private Runnable decode(int code, int number, Instance instance, ByteBuffer in, Moment clock) {
-        instance.at(clock);
+        instance.advanceTo(clock);
         switch (code) {
             case 1: {
                 int how = checked(in.get() & 0xff, 4, "announce kind");
@@ -190,13 +194,13 @@
                 Outcome outcome = outcome(in);
                 long host = host(in);
                 float[] report = report(in);
-                return () -> instance.at(clock).probed(host, outcome, elapsed, report);
+                return () -> instance.dispatcher().probed(host, outcome, elapsed, report);
             }
             case 8: {
                 int who = in.getInt();
                 byte[] words = new byte[in.getShort() & 0xffff];
                 in.get(words);
-                return () -> instance.at(clock).heard(who, words);
+                return () -> instance.dispatcher().heard(who, words);
             }
             case 9:
                 return () -> instances.remove(number);
@@ -206,7 +210,7 @@
                 Outcome outcome = outcome(in);
                 Span elapsed = span(in);
                 int copies = in.get() & 0xff;
-                return () -> instance.at(clock).loaded(host, function, outcome, elapsed, copies);
+                return () -> instance.dispatcher().loaded(host, function, outcome, elapsed, copies);
             }
         }
     }
--- a/src/main/java/flintlead/benchlink/Instance.java
+++ b/src/main/java/flintlead/benchlink/Instance.java
@@ -36,8 +36,11 @@
         this.dispatcher = new Control(this, deployment, seed);
     }
 
-    Dispatcher at(Moment clock) {
+    void advanceTo(Moment clock) {
         now = clock;
+    }
+
+    Dispatcher dispatcher() {
         return dispatcher;
     }
 
--- a/src/main/java/flintlead/port/Deployment.java
+++ b/src/main/java/flintlead/port/Deployment.java
@@ -3,7 +3,7 @@
 import flintlead.time.Span;
 import java.util.List;
 
-/** The facts a gateway is told at startup, as far as the decisions read them. */
+/** The facts a gateway is told at startup; the decisions need not read them all. */
 public record Deployment(int index, int gateways, int zone, Span tick, boolean hostsOnRequest,
                          List<TriggerType> triggerTypes, List<Double> customerQuotas,
                          Span answerSlack, Span askWithin, double coldFrom, Span warmAfter, double fallMultiple,
--- a/src/main/java/flintlead/state/Course.java
+++ b/src/main/java/flintlead/state/Course.java
@@ -19,8 +19,7 @@
     public boolean overShare;
     public boolean worthLess;
     public boolean held;
-    /** An order after a miss is under way at that host; a host that it may be sent to once more. */
-    public boolean ordered;
+    /** Where an order after a miss was made for it; a host that it may be sent to once more. */
     public Host orderedAt;
     public Host retryable;
     /** It has its final answer, or needs none. */
--- a/src/main/java/flintlead/state/Sent.java
+++ b/src/main/java/flintlead/state/Sent.java
@@ -25,6 +25,11 @@
         this.loads = !warm;
     }
 
+    /** Whether its host has answered nothing since it went. */
+    public boolean hostUnheard() {
+        return !host.heardAt.isAfter(at);
+    }
+
     public boolean mayHaveRun() {
         return outcome == null || outcome.mayHaveRun();
     }
