Cold parts are saved up; hot functions spread by crowds; walk by hash of function and id

A part under one is now saved up from a chance start, against the best mean rate of answers.

The told crowd now sets over how many hosts of its walk a function is spread, each taking its part by chance.

The walk now orders the ids by a hash of function and id.

Tried and taken back: counting a dispatch without a mark as a part of a load by the odds that it loads.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -35,6 +35,9 @@
     private static final double PACE_AIM = 0.35;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
+    /** A function's hosts: the crowd at each that is aimed at, and the largest step of their number. */
+    private static final double CROWD_AIM = 3;
+    private static final double SPREAD_STEP = 0.5;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
     /** Out this long (a load: JOIN_UNTIL of its time) and the host unheard since: the host is silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
@@ -48,16 +51,14 @@
     private static final double ASIDE_MOST = 0.5;
     /** Share of the gateway's even part of a cold host's budget that is used. */
     private static final double COLD_SHARE = 0.8;
-    /** How fast the gateway's own rates, of answers and of giving up, are followed. */
-    private static final Span RATE_WINDOW = Span.ofMillis(5000);
+    /** A rate of answers is not judged over less than this: few answers by chance would look like many. */
+    private static final Span LIFE_LEAST = Span.ofMillis(8000);
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
     /** So many failed loads in a row are the store's trouble; the pause grows by itself with each more. */
     private static final int STORE_FAILS = 4;
     private static final Span STORE_PAUSE = Span.ofMillis(200);
-    /** Given up, against answered, from which a gateway is pressed. */
-    private static final double PRESSED = 0.25;
     private static final Span SERVED_GUESS = Span.ofMillis(200);
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
@@ -89,12 +90,13 @@
     /** All hosts ever listed, by id; the ring is those listed and not gone, sorted. */
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
     private Host[] ring = new Host[0];
+    private int hostsAside;
     private final List<Invocation> held = new ArrayList<>();
     private final RecentTimes taken = new RecentTimes();
     private final RecentTimes orders = new RecentTimes();
     private final TokenBucket[] customers;
-    /** Held invocations of each function, and what a warm answer takes on average. */
-    private final Map<Long, Integer> heldOf = new HashMap<>();
+    /** What is known of each function, and what a warm answer takes on average. */
+    private final Map<Long, Fn> functions = new HashMap<>();
     private Span served = SERVED_GUESS;
     /** Invocations whose order after a miss is under way. */
     private final List<Invocation> ordering = new ArrayList<>();
@@ -105,14 +107,16 @@
     private Moment loadsShrunkAt = new Moment(0);
     private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
-    private final DecayingRate rate = new DecayingRate(RATE_WINDOW);
+    /** Succeeded dispatches since the gateway began, and the best rate of them up to any moment. */
+    private final Moment begunAt;
+    private int answers;
     private double bestRate;
-    private final DecayingRate givenUp = new DecayingRate(RATE_WINDOW);
 
     public Control(Gateway gateway, Deployment facts, long seed) {
         this.gateway = gateway;
         this.facts = facts;
         this.random = new Random(seed);
+        this.begunAt = gateway.now();
         this.roomLeast = Math.max(1, ROOM_LEAST_OF_ALL / Math.max(1, facts.gateways()));
         this.margin = facts.tick().times(MARGIN_TICKS);
         double most = facts.triggerTypes().stream().mapToDouble(TriggerType::billedValue).max().orElse(0);
@@ -126,9 +130,7 @@
                 type.window(), Math.min(cap, 1 + further));
         }
         customers = new TokenBucket[facts.customerQuotas().size()];
-        for (int i = 0; i < customers.length; i++) {
-            customers[i] = new TokenBucket(facts.customerQuotas().get(i) / Math.max(1, facts.gateways()));
-        }
+        Arrays.setAll(customers, customer -> new TokenBucket(quota(customer)));
         if (facts.hostsOnRequest()) {
             gateway.follow(true);
         }
@@ -142,7 +144,9 @@
         taken.add(now);
         taken.countFrom(now.minus(facts.loadsWithin()));
         Invocation inv = new Invocation(id, call, now);
-        inv.overShare = call.customer() < customers.length && !customers[call.customer()].spend(now);
+        inv.chance = random.nextDouble();
+        int customer = call.customer();
+        inv.overShare = customer < customers.length && !customers[customer].take(now, quota(customer));
         inv.worthLess = inv.overShare || call.repeat();
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time too.
         gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
@@ -150,13 +154,16 @@
         return inv;
     }
 
+    /** This gateway's even part of what a customer may send a second. */
+    private double quota(int customer) {
+        return facts.customerQuotas().get(customer) / Math.max(1, facts.gateways());
+    }
+
     /** The ordinary path, top to bottom. Gives back false when the invocation is (still) held. */
     private boolean place(Invocation inv) {
         Host host = warmest(inv);
         boolean warm = host != null;
-        if (!warm) {
-            host = underWay(inv);
-        }
+        host = warm ? host : underWay(inv);
         if (host == null && !laneSoon(inv)) {
             host = firstRoomy(inv);
         }
@@ -168,28 +175,31 @@
         return true;
     }
 
-    /** The design's warm search: all hosts, room in lanes, fewest own in flight, ties at random. */
+    /**
+     * The design's warm search: all hosts, room in lanes, fewest own in flight, ties at random. Departure: of
+     * a function spread over so many hosts each takes its part only, by chance; the rest goes along the walk.
+     */
     private Host warmest(Invocation inv) {
+        Moment now = gateway.now();
+        double part = 1 / inv.fn.spread;
+        double parts = 0;
         Host best = null;
         int ties = 0;
-        for (Host host : ring) {
-            Mark mark = host.marks.get(inv.call.function());
-            if (mark == null || believed(mark, gateway.now()) == 0 || !roomy(host)
-                || !usable(inv, host)) {
-                continue;
-            }
-            if (mark.inFlight >= lanes(inv) * mark.instances
-                || mark.crowdedUntil.isAfter(gateway.now())) {
+        for (Mark mark : inv.fn.marks) {
+            Host host = mark.host;
+            if (believed(mark, now) == 0 || mark.crowdedUntil.isAfter(now)
+                || mark.inFlight >= lanes(inv) * mark.instances || !roomy(host) || !usable(inv, host)) {
                 continue;
             }
-            if (best == null || host.inFlight < best.inFlight) {
-                best = host;
-                ties = 1;
-            } else if (host.inFlight == best.inFlight && random.nextInt(++ties) == 0) {
+            parts += part;
+            boolean fewer = best == null || host.inFlight < best.inFlight;
+            ties = fewer ? 1 : ties + (host.inFlight == best.inFlight ? 1 : 0);
+            if (fewer || host.inFlight == best.inFlight && random.nextInt(ties) == 0) {
                 best = host;
             }
         }
-        return best;
+        inv.beyond = Math.max(0, (inv.chance - parts) / part);
+        return inv.chance < parts ? best : null;
     }
 
     /** Departure: hold when own lanes, or an own load, come free sooner than a further load would end. */
@@ -198,12 +208,11 @@
         Span load = loadTime(inv);
         double lanes = 0;
         Span first = null;
-        for (Host host : ring) {
-            Mark mark = host.marks.get(inv.call.function());
-            if (mark == null || !usable(inv, host)) {
+        for (Mark mark : inv.fn.marks) {
+            if (!usable(inv, mark.host)) {
                 continue;
             }
-            if (believed(mark, now) > 0) {
+            if (believed(mark, now) > 0 && (mark.inFlight > 0 || !roomy(mark.host))) {
                 lanes += lanes(inv) * mark.instances;
                 first = Span.ZERO;
             } else if (loadsSoon(inv, mark)) {
@@ -215,22 +224,16 @@
         if (first == null) {
             return false;
         }
-        int ahead = heldOf.getOrDefault(inv.call.function(), 0);
+        int ahead = inv.fn.held;
         Span wait = first.plus(served.times((ahead + 1) / lanes));
-        return wait.isShorterThan(load) && (pressed() || now.plus(wait).isBefore(inv.holdEnd()));
-    }
-
-    /** Much is given up lately: there is too little room, and a further load would take more of it. */
-    private boolean pressed() {
-        return givenUp.perSecond(gateway.now()) > PRESSED * rate.perSecond(gateway.now());
+        return wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd());
     }
 
     /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
     private Host underWay(Invocation inv) {
-        for (Host host : ring) {
-            Mark mark = host.marks.get(inv.call.function());
-            if (mark != null && loadsSoon(inv, mark) && mark.inFlight < lanes(inv) && usable(inv, host)) {
-                return host;
+        for (Mark mark : inv.fn.marks) {
+            if (loadsSoon(inv, mark) && mark.inFlight < lanes(inv) && usable(inv, mark.host)) {
+                return mark.host;
             }
         }
         return null;
@@ -247,23 +250,22 @@
 
     /** The design's walk: from the function's home over the sorted ids, the same from every gateway. */
     private Host firstRoomy(Invocation inv) {
-        int n = ring.length;
-        if (n == 0) {
+        boolean storeFails = loadsFailed >= STORE_FAILS;
+        if (loading >= loadRoom
+            || storeFails && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
             return null;
         }
-        long hash = Numbers.mix(inv.call.function());
-        int home = (int) Long.remainderUnsigned(hash, n);
-        int step = 1 + (int) Long.remainderUnsigned(hash >>> 32, Math.max(1, n - 1));
-        while (Numbers.gcd(step, n) != 1) {
-            step++;
-        }
-        for (int i = 0, at = home; i < n; i++, at = (at + step) % n) {
-            Host host = ring[at];
+        double beyond = inv.beyond;
+        Host last = null;
+        for (Host host : inv.fn.walk(ring)) {
             if (usable(inv, host) && roomy(host) && mayLoad(inv, host)) {
-                return host;
+                last = host;
+                if (beyond-- < 1) {
+                    return host;
+                }
             }
         }
-        return null;
+        return last;
     }
 
     private boolean roomy(Host host) {
@@ -271,20 +273,16 @@
     }
 
     private boolean mayLoad(Invocation inv, Host host) {
-        boolean storeFails = loadsFailed >= STORE_FAILS;
-        if (loading >= loadRoom || storeFails && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
-            return false;
-        }
-        Mark mark = host.marks.get(inv.call.function());
+        Mark mark = inv.fn.at(host);
         return !gateway.now().isBefore(host.fullUntil)
             && (mark == null || mark.loading == 0 && believed(mark, gateway.now()) == 0)
-            && ordered(host, inv.call.function()) == null;
+            && ordered(host, inv.fn.id) == null;
     }
 
     /** The invocation whose order for the function at the host is under way; null if there is none. */
     private Invocation ordered(Host host, long fn) {
         for (Invocation inv : ordering) {
-            if (inv.orderedAt == host && inv.call.function() == fn) {
+            if (inv.orderedAt == host && inv.fn.id == fn) {
                 return inv;
             }
         }
@@ -300,7 +298,7 @@
         if (!inv.held) {
             inv.held = true;
             held.add(inv);
-            heldOf.merge(inv.call.function(), 1, Integer::sum);
+            inv.fn.held++;
         }
         if (!pulsing) {
             pulsing = true;
@@ -322,8 +320,8 @@
         List<Invocation> waiting = new ArrayList<>(held);
         waiting.sort(Comparator.comparingDouble(inv -> -inv.value()));
         held.clear();
-        heldOf.clear();
         Set<Long> stuck = new HashSet<>();
+        waiting.forEach(inv -> inv.fn.held = 0);
         for (Invocation inv : waiting) {
             if (!inv.held) {
                 continue;
@@ -333,30 +331,29 @@
                 hold(inv);
             } else if (inv.hopeless()) {
                 inv.giveUp();
-            } else if (stuck.contains(inv.call.function())) {
+            } else if (stuck.contains(inv.fn.id)) {
                 hold(inv);
             } else if (!place(inv) && inv.dispatches.isEmpty()) {
-                stuck.add(inv.call.function());
+                stuck.add(inv.fn.id);
             }
         }
     }
 
     private void send(Invocation inv, Host host, boolean warm) {
         Moment now = gateway.now();
-        Mark mark = host.mark(inv.call.function());
+        Mark mark = inv.fn.mark(host);
         inv.held = false;
         Sent sent = new Sent(inv.dispatches.size(), host, mark, now, warm);
         inv.dispatches.add(sent);
         inv.inFlight++;
         host.inFlight++;
         mark.inFlight++;
-        mark.peak = Math.max(mark.peak, mark.inFlight);
         if (!warm && mark.loading++ == 0) {
             loading++;
             mark.loadingSince = now;
         }
         if (cold(host, now)) {
-            host.sentCold.add(now);
+            host.cold.spend();
         }
         gateway.dispatch(inv.id, host.id(), inv.deadline);
         Span patience = warm ? SILENT_AFTER : Span.longer(SILENT_AFTER, loadTime(inv).times(JOIN_UNTIL));
@@ -406,9 +403,10 @@
     }
 
     /**
-     * Rule 4: a cold host takes at most a share of what all gateways may send it in a window. What a warm one
-     * takes is not told; what the average host once answered this gateway is a floor for its part. Answers
-     * count, not dispatches: those grow without bound when everything fails and is sent again.
+     * Rule 4: all gateways together send a cold host what it can do, and no more, if each keeps to its part.
+     * What a warm one takes is not told; what the average host answered this gateway is a floor for its part.
+     * Answers count, not dispatches: those grow without bound when everything fails and is sent again. A part
+     * under one dispatch is saved up from a start by chance, so that the sum over many gateways holds.
      */
     private boolean coldRoom(Host host) {
         Moment now = gateway.now();
@@ -416,10 +414,10 @@
             return true;
         }
         double age = now.since(host.entry.startedAt()).over(facts.warmAfter());
-        double part = facts.coldFrom() + (1 - facts.coldFrom()) * Math.max(0, Math.min(1, age));
+        double part = facts.coldFrom() + (1 - facts.coldFrom()) * Math.max(0, age);
         double each = bestRate / Math.max(1, ring.length);
-        double budget = COLD_SHARE * facts.fallMultiple() * part * each * facts.overloadFor().micros() / 1e6;
-        return host.sentCold.countFrom(now.minus(facts.overloadFor())) < Math.max(1, Math.floor(budget));
+        double perSecond = COLD_SHARE * facts.fallMultiple() * part * each;
+        return host.cold.fill(now, perSecond, Math.max(1, perSecond * facts.overloadFor().micros() / 2e6));
     }
 
     /** Rule 5: whether one more order to load stays in the ration. */
@@ -441,11 +439,7 @@
         if (host.asideTimes == 0) {
             return false;
         }
-        int bad = 0;
-        for (Host each : ring) {
-            bad += each.asideTimes > 0 ? 1 : 0;
-        }
-        if (bad > ASIDE_MOST * ring.length) {
+        if (hostsAside > ASIDE_MOST * ring.length) {
             return false;
         }
         return gateway.now().isBefore(host.asideUntil) || host.inFlight > host.stranded;
@@ -457,7 +451,7 @@
             return;
         }
         Span span = ASIDE_FIRST.times(1L << Math.min(host.asideTimes, 8));
-        host.asideTimes++;
+        hostsAside += host.asideTimes++ == 0 && host.listed ? 1 : 0;
         host.asideUntil = now.plus(Span.shorter(span, ASIDE_LONGEST));
         host.stranded = host.inFlight;
     }
@@ -519,26 +513,26 @@
             case OK -> {
                 host.heardAt = now;
                 host.failing -= host.failing * FAILING_WEIGHT;
+                hostsAside -= host.asideTimes > 0 && host.listed ? 1 : 0;
                 host.asideTimes = 0;
-                rate.count(now);
-                bestRate = Math.max(bestRate, rate.perSecond(now));
+                answers++;
+                Span life = Span.longer(now.since(begunAt), LIFE_LEAST);
+                bestRate = Math.max(bestRate, answers * 1e6 / life.micros());
                 loadsFailed = 0;
                 int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
-                settle(mark, lanes(inv), now);
-                // Crowded: other gateways fill the lanes that this one believes free.
-                if (facts.tellsCrowd() && remark >> 3 > lanes(inv) * mark.instances) {
-                    mark.crowdedUntil = now.plus(served);
-                }
                 if (sent.warm) {
                     served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
                 }
-                adjustRoom(inv, sent, elapsed, note, now);
+                adjustRoom(inv, sent, elapsed, remark, now);
             }
             case FULL -> {
                 host.heardAt = now;
                 host.fullUntil = now.plus(FULL_LASTS);
                 mark.crowdedUntil = host.fullUntil;
+                if (facts.tellsCrowd()) {
+                    spread(inv.fn, ring.length);
+                }
                 host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight));
             }
             case MISS -> {
@@ -574,9 +568,16 @@
     }
 
     /** Slow or crowded: the pace of warm answers against their objectives narrows or widens a host's room. */
-    private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
+    private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int remark, Moment now) {
+        int note = remark & 7;
         Host host = sent.host;
-        if (!sent.warm || note >= BEGAN_LOAD) {
+        if (note >= BEGAN_LOAD || !sent.warm && !facts.tellsWarm()) {
+            return;
+        }
+        if (facts.tellsCrowd()) {
+            spread(inv.fn, 1 + (remark >> 3));
+        }
+        if (!sent.warm) {
             return;
         }
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
@@ -590,6 +591,12 @@
         }
     }
 
+    /** Crowded: of a function held in numbers at a host, more hosts of the walk take their part. */
+    private void spread(Fn fn, double crowd) {
+        double by = Math.max(1 - SPREAD_STEP, Math.min(1 + SPREAD_STEP, crowd / CROWD_AIM));
+        fn.spread = Math.max(1, Math.min(ring.length, fn.spread * by));
+    }
+
     /**
      * Loads that end after the objective, are turned away or fail narrow the own loads under way, quick ones
      * widen them. Many failed in a row stop them; then they go one by one until one succeeds. Covers a slow
@@ -622,16 +629,6 @@
         mark.usedAt = now;
     }
 
-    /** Instances beyond what was used at once within a keep-alive lapse as well. */
-    private void settle(Mark mark, double lanes, Moment now) {
-        if (now.since(mark.peakSince).isLongerThan(facts.idleLife())) {
-            int used = (int) Math.ceil(mark.peak / lanes);
-            mark.instances = Math.min(mark.instances, Math.max(1, used));
-            mark.peak = mark.inFlight;
-            mark.peakSince = now;
-        }
-    }
-
     // ---- hosts ----
 
     @Override
@@ -657,12 +654,14 @@
             host.listed = entry.state() != HostEntry.State.GONE;
         }
         ring = hosts.values().stream().filter(host -> host.listed).toArray(Host[]::new);
+        hostsAside = (int) Arrays.stream(ring).filter(host -> host.asideTimes > 0).count();
         release();
     }
 
     /** A new start, under the same id too, has nothing loaded and no past. */
     private void begun(Host host) {
-        host.marks.clear();
+        host.forgetMarks();
+        host.cold = new TokenBucket(random.nextDouble());
         host.failing = 0;
         host.asideTimes = 0;
         host.asideUntil = new Moment(0);
@@ -683,7 +682,7 @@
         Host host = hosts.get(id);
         Moment now = gateway.now();
         if (outcome == Outcome.OK) {
-            stands(host.mark(fn), Math.max(1, copies), now);
+            stands(function(fn).mark(host), Math.max(1, copies), now);
         } else if (outcome == Outcome.FULL) {
             host.fullUntil = now.plus(FULL_LASTS);
         }
@@ -695,6 +694,10 @@
         release();
     }
 
+    private Fn function(long id) {
+        return functions.computeIfAbsent(id, Fn::new);
+    }
+
     private static Span loadTime(Invocation inv) {
         return inv.call.loadHint().micros() > 0 ? inv.call.loadHint() : LOAD_GUESS;
     }
@@ -705,7 +708,7 @@
         final Row row;
 
         Invocation(long id, Call call, Moment now) {
-            super(id, call, now);
+            super(id, call, now, function(call.function()));
             this.row = rows[call.triggerType()];
         }
 
@@ -762,7 +765,6 @@
             if (over) {
                 return;
             }
-            givenUp.count(gateway.now());
             boolean harmless = mayThrottle(this);
             close();
             if (harmless) {
--- a/src/main/java/flintlead/state/Course.java
+++ b/src/main/java/flintlead/state/Course.java
@@ -10,6 +10,7 @@
 
     public final long id;
     public final Call call;
+    public final Fn fn;
     public final Moment at;
     public final Moment deadline;
     public final List<Sent> dispatches = new ArrayList<>(2);
@@ -19,15 +20,19 @@
     public boolean overShare;
     public boolean worthLess;
     public boolean held;
+    /** Drawn when it was taken; how many hosts along the walk it leaves to others. */
+    public double chance;
+    public double beyond;
     /** Where an order after a miss was made for it; a host that it may be sent to once more. */
     public Host orderedAt;
     public Host retryable;
     /** It has its final answer, or needs none. */
     public boolean over;
 
-    protected Course(long id, Call call, Moment at) {
+    protected Course(long id, Call call, Moment at, Fn fn) {
         this.id = id;
         this.call = call;
+        this.fn = fn;
         this.at = at;
         this.deadline = at.plus(call.left());
     }
--- a/src/main/java/flintlead/state/Host.java
+++ b/src/main/java/flintlead/state/Host.java
@@ -2,18 +2,20 @@
 
 import flintlead.port.HostEntry;
 import flintlead.time.Moment;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.ArrayList;
+import java.util.List;
 
 /** What a gateway knows of one host, from its first listing on. */
 public final class Host {
 
     public HostEntry entry;
     public boolean listed = true;
-    public final Map<Long, Mark> marks = new HashMap<>();
-    /** Own dispatches out, and own dispatches to it since it started, as far as they are still counted. */
+    /** The functions that have a mark here. */
+    public final List<Fn> functions = new ArrayList<>();
+    /** Own dispatches out. */
     public int inFlight;
-    public final RecentTimes sentCold = new RecentTimes();
+    /** Own dispatches that it may still be sent while cold. */
+    public TokenBucket cold;
     /** Own dispatches it may have out, and the pace of its warm answers, as a share of their objectives. */
     public double room;
     public double pace;
@@ -35,7 +37,11 @@
         return entry.host();
     }
 
-    public Mark mark(long function) {
-        return marks.computeIfAbsent(function, any -> new Mark());
+    /** What was loaded here is gone. */
+    public void forgetMarks() {
+        for (Fn fn : functions) {
+            fn.marks.remove(fn.at(this));
+        }
+        functions.clear();
     }
 }
--- a/src/main/java/flintlead/state/Mark.java
+++ b/src/main/java/flintlead/state/Mark.java
@@ -6,6 +6,7 @@
 /** What a gateway believes and has out of one function at one host. */
 public final class Mark {
 
+    public final Host host;
     /** Instances believed to stand there. */
     public int instances;
     public Moment usedAt = new Moment(0);
@@ -13,11 +14,12 @@
     public int inFlight;
     public int loading;
     public Moment loadingSince = new Moment(0);
-    /** Most own dispatches out at once since {@code peakSince}. */
-    public int peak;
-    public Moment peakSince = new Moment(0);
     public Moment crowdedUntil = new Moment(0);
 
+    public Mark(Host host) {
+        this.host = host;
+    }
+
     /** The belief lapses when unused for the span. */
     public int instances(Moment now, Span lapse) {
         if (instances > 0 && inFlight == 0 && now.since(usedAt).isLongerThan(lapse)) {
--- a/src/main/java/flintlead/state/Numbers.java
+++ b/src/main/java/flintlead/state/Numbers.java
@@ -12,8 +12,4 @@
         x = (x ^ (x >>> 33)) * 0xc4ceb9fe1a85ec53L;
         return x ^ (x >>> 33);
     }
-
-    public static int gcd(int a, int b) {
-        return b == 0 ? a : gcd(b, a % b);
-    }
 }
--- a/src/main/java/flintlead/state/TokenBucket.java
+++ b/src/main/java/flintlead/state/TokenBucket.java
@@ -2,32 +2,39 @@
 
 import flintlead.time.Moment;
 
-/** Fills at a rate up to one second's worth, from which single tokens are spent. */
+/** Tokens that come in at a rate, fractions saved up to a most, and are spent one by one. */
 public final class TokenBucket {
 
-    private final double perSecond;
     private double level;
     private Moment at;
 
-    public TokenBucket(double perSecond) {
-        this.perSecond = perSecond;
-        this.level = perSecond;
+    public TokenBucket(double level) {
+        this.level = level;
     }
 
-    public boolean spend(Moment now) {
+    /** Adds what has come in since the last call; gives back whether there is a whole token. */
+    public boolean fill(Moment now, double perSecond, double most) {
         if (at != null) {
-            level = Math.min(perSecond, level + perSecond * now.since(at).micros() / 1e6);
+            level += perSecond * now.since(at).micros() / 1e6;
         }
+        level = Math.min(most, level);
         at = now;
-        if (level < 1) {
-            return false;
-        }
+        return level >= 1;
+    }
+
+    /** Spends a token if there is a whole one; saves up what comes in a second, or one token. */
+    public boolean take(Moment now, double perSecond) {
+        boolean whole = fill(now, perSecond, Math.max(1, perSecond));
+        level -= whole ? 1 : 0;
+        return whole;
+    }
+
+    public void spend() {
         level -= 1;
-        return true;
     }
 
     /** Returns a token that was spent in vain. */
     public void giveBack() {
-        level = Math.min(perSecond, level + 1);
+        level += 1;
     }
 }
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -127,6 +127,26 @@
             .filter(out -> out.host == 102).count() <= 1);
     }
 
+    /** Two hundred gateways once sent a cold host one dispatch each at the same time, and it fell over. */
+    @Example
+    void partsUnderOneDispatchAddUpOverManyGateways() {
+        int sent = 0;
+        for (int gateway = 0; gateway < 200; gateway++) {
+            Fleet one = new Fleet(Fleet.facts(true, true, 200), 5);
+            for (int i = 0; i < 20; i++) {
+                one.end(one.take(0, i, 2000).outs.get(0), Outcome.OK);
+                one.pass(500);
+            }
+            one.list(one.entry(102, HostEntry.State.READY, one.now().micros()));
+            for (int i = 0; i < 20; i++) {
+                one.take(0, i, 2000);
+            }
+            sent += one.invs.values().stream().flatMap(inv -> inv.outs.stream()).filter(out -> out.outcome == null
+                && out.host == 102).count();
+        }
+        assertTrue(sent < 40, "sent at once: " + sent);
+    }
+
     /** While much failed the budget once shrank with the answers, and cold hosts stayed idle in a deploy. */
     @Example
     void aLullDoesNotNarrowTheColdBudget() {
@@ -138,6 +158,7 @@
         fleet.list(fleet.entry(102, HostEntry.State.READY, fleet.now().micros()));
         for (int i = 0; i < 40; i++) {
             fleet.end(fleet.take(0, i, 2000).outs.get(0), Outcome.OK);
+            fleet.pass(100);
         }
         assertTrue(fleet.invs.values().stream().skip(300).filter(inv -> inv.outs.get(0).host == 102).count() > 1);
     }
