--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -35,12 +35,14 @@
     private static final double PACE_AIM = 0.35;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
-    /** A function's hosts: the crowd at each that is aimed at, and the largest step of their number. */
+    /** A function's hosts: the crowd at each that is aimed at, and the largest steps of their number. */
     private static final double CROWD_AIM = 3;
-    private static final double SPREAD_STEP = 0.5;
+    private static final double SPREAD_UP = 4;
+    private static final double SPREAD_DOWN = 0.5;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
     /** Out this long (a load: JOIN_UNTIL of its time) and the host unheard since: the host is silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
+    private static final int SILENT_PROOF = 3;
     /** Share of failures among outcomes above which a host is set aside, and the weight of a new outcome. */
     private static final double FAILING_ABOVE = 0.45;
     private static final double FAILING_WEIGHT = 0.2;
@@ -56,9 +58,6 @@
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
-    /** So many failed loads in a row are the store's trouble; the pause grows by itself with each more. */
-    private static final int STORE_FAILS = 4;
-    private static final Span STORE_PAUSE = Span.ofMillis(200);
     private static final Span SERVED_GUESS = Span.ofMillis(200);
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
@@ -100,12 +99,10 @@
     private Span served = SERVED_GUESS;
     /** Invocations whose order after a miss is under way. */
     private final List<Invocation> ordering = new ArrayList<>();
-    /** Own loads under way, and loads that failed since one last went well. */
+    /** Own loads under way, and how many there may be. */
     private int loading;
-    private int loadsFailed;
     private double loadRoom = LOADS_START;
     private Moment loadsShrunkAt = new Moment(0);
-    private Moment noLoadsUntil = new Moment(0);
     private boolean pulsing;
     /** Succeeded dispatches since the gateway began, and the best rate of them up to any moment. */
     private final Moment begunAt;
@@ -250,9 +247,7 @@
 
     /** The design's walk: from the function's home over the sorted ids, the same from every gateway. */
     private Host firstRoomy(Invocation inv) {
-        boolean storeFails = loadsFailed >= STORE_FAILS;
-        if (loading >= loadRoom
-            || storeFails && (loading > 0 || gateway.now().isBefore(noLoadsUntil))) {
+        if (loading >= loadRoom) {
             return null;
         }
         double beyond = inv.beyond;
@@ -466,15 +461,23 @@
         }
     }
 
-    /** Silent: a dispatch is out too long and its host has answered nothing since it went. */
+    /**
+     * Silent: dispatches are out too long and their host has answered nothing since they went. One may just be
+     * slow where a gateway seldom hears of a host: where the invocation would have to be called back, which
+     * loses it if it may not go elsewhere, more are asked for, or one out for as much longer.
+     */
     private void watch(Invocation inv, Sent sent) {
         if (sent.outcome != null) {
             return;
         }
         Host host = sent.host;
         if (sent.hostUnheard()) {
-            setAside(host);
             loadOver(sent);
+            if (++host.unheard >= (facts.secondCopies() ? 1 : SILENT_PROOF)) {
+                setAside(host);
+            } else {
+                gateway.at(gateway.now().plus(SILENT_AFTER), () -> watch(inv, sent));
+            }
         }
         if (!inv.over && host.asideTimes > 0) {
             rescue(inv, sent);
@@ -511,14 +514,13 @@
         }
         switch (outcome) {
             case OK -> {
-                host.heardAt = now;
+                host.heard(now);
                 host.failing -= host.failing * FAILING_WEIGHT;
                 hostsAside -= host.asideTimes > 0 && host.listed ? 1 : 0;
                 host.asideTimes = 0;
                 answers++;
                 Span life = Span.longer(now.since(begunAt), LIFE_LEAST);
                 bestRate = Math.max(bestRate, answers * 1e6 / life.micros());
-                loadsFailed = 0;
                 int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
                 if (sent.warm) {
@@ -527,7 +529,7 @@
                 adjustRoom(inv, sent, elapsed, remark, now);
             }
             case FULL -> {
-                host.heardAt = now;
+                host.heard(now);
                 host.fullUntil = now.plus(FULL_LASTS);
                 mark.crowdedUntil = host.fullUntil;
                 if (facts.tellsCrowd()) {
@@ -536,11 +538,11 @@
                 host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight));
             }
             case MISS -> {
-                host.heardAt = now;
+                host.heard(now);
                 mark.instances = 0;
             }
             case ERROR -> {
-                host.heardAt = now;
+                host.heard(now);
                 if (note == LOAD_FAILED) {
                     mark.instances = 0;
                 } else {
@@ -593,22 +595,17 @@
 
     /** Crowded: of a function held in numbers at a host, more hosts of the walk take their part. */
     private void spread(Fn fn, double crowd) {
-        double by = Math.max(1 - SPREAD_STEP, Math.min(1 + SPREAD_STEP, crowd / CROWD_AIM));
+        double by = Math.max(SPREAD_DOWN, Math.min(SPREAD_UP, crowd / CROWD_AIM));
         fn.spread = Math.max(1, Math.min(ring.length, fn.spread * by));
     }
 
     /**
      * Loads that end after the objective, are turned away or fail narrow the own loads under way, quick ones
-     * widen them. Many failed in a row stop them; then they go one by one until one succeeds. Covers a slow
-     * or stopped store, crowded loaders, short memory, floods of functions asked for once. Harms where a load
-     * always outlasts the objective.
+     * widen them. Covers a slow or stopped store, crowded loaders, short memory, floods of functions asked for
+     * once. Harms where a load always outlasts the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
         boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
-        if (note == LOAD_FAILED && ++loadsFailed >= STORE_FAILS) {
-            Span pause = STORE_PAUSE.times(loadsFailed - STORE_FAILS + 1);
-            noLoadsUntil = now.plus(Span.shorter(pause, FULL_LASTS));
-        }
         if (slow || outcome == Outcome.FULL || note == LOAD_FAILED) {
             if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
                 loadRoom = Math.max(LOADS_LEAST, Math.min(loadRoom, loading + 1) * ROOM_SHRINK);
@@ -810,7 +807,7 @@
             // A streamed answer belongs to its client: it is over here, its outcome still to come.
             over = true;
             held = false;
-            dispatches.get(number).host.heardAt = gateway.now();
+            dispatches.get(number).host.heard(gateway.now());
         }
 
         @Override
--- a/src/main/java/flintlead/state/Host.java
+++ b/src/main/java/flintlead/state/Host.java
@@ -22,6 +22,8 @@
     public Moment shrunkAt = new Moment(0);
     public Moment fullUntil = new Moment(0);
     public Moment heardAt = new Moment(0);
+    /** Dispatches found out too long since it was last heard. */
+    public int unheard;
     /** Share of failures among recent outcomes. */
     public double failing;
     /** Times set aside in a row, until when, and the dispatches that were out then and still are. */
@@ -37,6 +39,11 @@
         return entry.host();
     }
 
+    public void heard(Moment now) {
+        heardAt = now;
+        unheard = 0;
+    }
+
     /** What was loaded here is gone. */
     public void forgetMarks() {
         for (Fn fn : functions) {
