--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -37,8 +37,12 @@
     private static final double ROOM_SHRINK = 0.9;
     /** A function's hosts: the crowd at each that is aimed at, and the largest steps of their number. */
     private static final double CROWD_AIM = 3;
-    private static final double SPREAD_UP = 4;
-    private static final double SPREAD_DOWN = 0.5;
+    /** A spread that has changed by this factor is told, after this span, to so many peers. */
+    private static final double TELL_FROM = 2;
+    private static final Span TELL_EVERY = Span.ofMillis(300);
+    private static final int TELL_PEERS = 3;
+    private static final double SPREAD_UP = 2;
+    private static final double SPREAD_DOWN = 0.8;
     private static final Span SHRINK_EVERY = Span.ofMillis(200);
     /** Out this long (a load: JOIN_UNTIL of its time) and the host unheard since: the host is silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
@@ -81,6 +85,7 @@
 
     private final Gateway gateway;
     private final Deployment facts;
+    private final int gateways;
     private final Random random;
     private final Row[] rows;
     private final Span margin;
@@ -104,6 +109,8 @@
     private double loadRoom = LOADS_START;
     private Moment loadsShrunkAt = new Moment(0);
     private boolean pulsing;
+    /** Functions whose spread is to be told. */
+    private final Set<Fn> toTell = new LinkedHashSet<>();
     /** Succeeded dispatches since the gateway began, and the best rate of them up to any moment. */
     private final Moment begunAt;
     private int answers;
@@ -112,22 +119,23 @@
     public Control(Gateway gateway, Deployment facts, long seed) {
         this.gateway = gateway;
         this.facts = facts;
+        this.gateways = Math.max(1, facts.gateways());
         this.random = new Random(seed);
         this.begunAt = gateway.now();
-        this.roomLeast = Math.max(1, ROOM_LEAST_OF_ALL / Math.max(1, facts.gateways()));
+        this.roomLeast = Math.max(1, ROOM_LEAST_OF_ALL / gateways);
         this.margin = facts.tick().times(MARGIN_TICKS);
         double most = facts.triggerTypes().stream().mapToDouble(TriggerType::billedValue).max().orElse(0);
         rows = new Row[facts.triggerTypes().size()];
+        int cap = Math.max(1, facts.dispatchCap());
         for (int i = 0; i < rows.length; i++) {
             TriggerType type = facts.triggerTypes().get(i);
-            int cap = Math.max(1, facts.dispatchCap());
             // The operators' wish: further dispatches go by billed value, relative to the table's largest.
             int further = most <= 0 ? cap - 1 : (int) Math.ceil((cap - 1) * type.billedValue() / most);
             rows[i] = new Row(type.billedValue(), type.latencyObjective(), type.effect(), type.group(),
                 type.window(), Math.min(cap, 1 + further));
         }
         customers = new TokenBucket[facts.customerQuotas().size()];
-        Arrays.setAll(customers, customer -> new TokenBucket(quota(customer)));
+        Arrays.setAll(customers, i -> new TokenBucket(facts.customerQuotas().get(i) / gateways));
         if (facts.hostsOnRequest()) {
             gateway.follow(true);
         }
@@ -143,7 +151,8 @@
         Invocation inv = new Invocation(id, call, now);
         inv.chance = random.nextDouble();
         int customer = call.customer();
-        inv.overShare = customer < customers.length && !customers[customer].take(now, quota(customer));
+        inv.overShare = customer < customers.length
+            && !customers[customer].take(now, facts.customerQuotas().get(customer) / gateways);
         inv.worthLess = inv.overShare || call.repeat();
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time too.
         gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
@@ -151,17 +160,12 @@
         return inv;
     }
 
-    /** This gateway's even part of what a customer may send a second. */
-    private double quota(int customer) {
-        return facts.customerQuotas().get(customer) / Math.max(1, facts.gateways());
-    }
 
     /** The ordinary path, top to bottom. Gives back false when the invocation is (still) held. */
     private boolean place(Invocation inv) {
         Host host = warmest(inv);
         boolean warm = host != null;
-        host = warm ? host : underWay(inv);
-        if (host == null && !laneSoon(inv)) {
+        if (!warm && !laneSoon(inv)) {
             host = firstRoomy(inv);
         }
         if (host == null) {
@@ -184,7 +188,7 @@
         int ties = 0;
         for (Mark mark : inv.fn.marks) {
             Host host = mark.host;
-            if (believed(mark, now) == 0 || mark.crowdedUntil.isAfter(now)
+            if (believed(mark, now) == 0 || host.fullUntil.isAfter(now)
                 || mark.inFlight >= lanes(inv) * mark.instances || !roomy(host) || !usable(inv, host)) {
                 continue;
             }
@@ -204,41 +208,22 @@
         Moment now = gateway.now();
         Span load = loadTime(inv);
         double lanes = 0;
-        Span first = null;
+        Span first = load;
         for (Mark mark : inv.fn.marks) {
+            Span loads = now.since(mark.loadingSince);
             if (!usable(inv, mark.host)) {
                 continue;
             }
             if (believed(mark, now) > 0 && (mark.inFlight > 0 || !roomy(mark.host))) {
                 lanes += lanes(inv) * mark.instances;
                 first = Span.ZERO;
-            } else if (loadsSoon(inv, mark)) {
+            } else if (mark.loading > 0 && loads.isShorterThan(load.times(JOIN_UNTIL))) {
                 lanes += lanes(inv);
-                Span left = Span.longer(Span.ZERO, load.minus(now.since(mark.loadingSince)));
-                first = first == null ? left : Span.shorter(first, left);
-            }
-        }
-        if (first == null) {
-            return false;
-        }
-        int ahead = inv.fn.held;
-        Span wait = first.plus(served.times((ahead + 1) / lanes));
-        return wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd());
-    }
-
-    /** Departure: while an own load of the function runs and its lanes are not all asked for, join it. */
-    private Host underWay(Invocation inv) {
-        for (Mark mark : inv.fn.marks) {
-            if (loadsSoon(inv, mark) && mark.inFlight < lanes(inv) && usable(inv, mark.host)) {
-                return mark.host;
+                first = Span.shorter(first, Span.longer(Span.ZERO, load.minus(loads)));
             }
         }
-        return null;
-    }
-
-    private boolean loadsSoon(Invocation inv, Mark mark) {
-        Span patience = loadTime(inv).times(JOIN_UNTIL);
-        return mark.loading > 0 && gateway.now().since(mark.loadingSince).isShorterThan(patience);
+        Span wait = first.plus(served.times((inv.fn.held + 1) / Math.max(1, lanes)));
+        return lanes > 0 && wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd());
     }
 
     private static double lanes(Invocation inv) {
@@ -462,9 +447,9 @@
     }
 
     /**
-     * Silent: dispatches are out too long and their host has answered nothing since they went. One may just be
-     * slow where a gateway seldom hears of a host: where the invocation would have to be called back, which
-     * loses it if it may not go elsewhere, more are asked for, or one out for as much longer.
+     * Silent: dispatches are out too long and their host has answered nothing since they went. One may be just
+     * slow where a gateway seldom hears a host: where the invocation would have to be called back, which loses
+     * it if it may not go elsewhere, more are asked for, or one out for as much longer.
      */
     private void watch(Invocation inv, Sent sent) {
         if (sent.outcome != null) {
@@ -512,6 +497,9 @@
             loadOver(sent);
             adjustLoadRoom(inv, outcome, elapsed, note, now);
         }
+        if (facts.tellsCrowd() && note < BEGAN_LOAD && (outcome == Outcome.OK || outcome == Outcome.FULL)) {
+            spread(inv.fn, (outcome == Outcome.OK ? 1 : CROWD_AIM) + (remark >> 3));
+        }
         switch (outcome) {
             case OK -> {
                 host.heard(now);
@@ -526,15 +514,11 @@
                 if (sent.warm) {
                     served = served.times(1 - FOLLOW).plus(elapsed.times(FOLLOW));
                 }
-                adjustRoom(inv, sent, elapsed, remark, now);
+                adjustRoom(inv, sent, elapsed, note, now);
             }
             case FULL -> {
                 host.heard(now);
                 host.fullUntil = now.plus(FULL_LASTS);
-                mark.crowdedUntil = host.fullUntil;
-                if (facts.tellsCrowd()) {
-                    spread(inv.fn, ring.length);
-                }
                 host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight));
             }
             case MISS -> {
@@ -570,16 +554,9 @@
     }
 
     /** Slow or crowded: the pace of warm answers against their objectives narrows or widens a host's room. */
-    private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int remark, Moment now) {
-        int note = remark & 7;
+    private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
         Host host = sent.host;
-        if (note >= BEGAN_LOAD || !sent.warm && !facts.tellsWarm()) {
-            return;
-        }
-        if (facts.tellsCrowd()) {
-            spread(inv.fn, 1 + (remark >> 3));
-        }
-        if (!sent.warm) {
+        if (note >= BEGAN_LOAD || !sent.warm) {
             return;
         }
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
@@ -597,18 +574,46 @@
     private void spread(Fn fn, double crowd) {
         double by = Math.max(SPREAD_DOWN, Math.min(SPREAD_UP, crowd / CROWD_AIM));
         fn.spread = Math.max(1, Math.min(ring.length, fn.spread * by));
+        tellSoon(fn);
+    }
+
+    /** A spread that has moved by much is told to a few peers, who tell it on if it is news to them. */
+    private void tellSoon(Fn fn) {
+        double news = fn.spread / fn.told;
+        if (facts.peers() && gateways > 1 && (news >= TELL_FROM || news <= 1 / TELL_FROM)
+            && toTell.add(fn) && toTell.size() == 1) {
+            gateway.at(gateway.now().plus(TELL_EVERY), this::tell);
+        }
+    }
+
+    private void tell() {
+        toTell.forEach(fn -> fn.told = fn.spread);
+        for (int i = 0; i < TELL_PEERS; i++) {
+            int other = 1 + random.nextInt(gateways - 1);
+            gateway.tell((facts.index() + other) % gateways, Words.of(toTell));
+        }
+        toTell.clear();
+    }
+
+    @Override
+    public void heard(int peer, byte[] words) {
+        Words.read(words, (id, spread) -> {
+            Fn fn = function(id);
+            fn.spread = Math.max(1, Math.min(ring.length, spread));
+            tellSoon(fn);
+        });
     }
 
     /**
      * Loads that end after the objective, are turned away or fail narrow the own loads under way, quick ones
-     * widen them. Covers a slow or stopped store, crowded loaders, short memory, floods of functions asked for
-     * once. Harms where a load always outlasts the objective.
+     * widen them. Covers a slow or stopped store, crowded loaders, short memory, functions asked for once.
+     * Harms where a load always outlasts the objective.
      */
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
         boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
         if (slow || outcome == Outcome.FULL || note == LOAD_FAILED) {
             if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
-                loadRoom = Math.max(LOADS_LEAST, Math.min(loadRoom, loading + 1) * ROOM_SHRINK);
+                loadRoom = Math.max(LOADS_LEAST, loadRoom * ROOM_SHRINK);
                 loadsShrunkAt = now;
             }
         } else if (outcome == Outcome.OK && loading + 1 >= loadRoom - 1) {
--- a/src/main/java/flintlead/state/Fn.java
+++ b/src/main/java/flintlead/state/Fn.java
@@ -13,6 +13,7 @@
     public final List<Mark> marks = new ArrayList<>();
     /** Hosts that its invocations, of all gateways, are spread over; a fraction is taken by chance. */
     public double spread = 1;
+    public double told = 1;
     /** Own invocations of it that are held. */
     public int held;
     private Host[] walk;
--- a/src/main/java/flintlead/state/Mark.java
+++ b/src/main/java/flintlead/state/Mark.java
@@ -14,7 +14,6 @@
     public int inFlight;
     public int loading;
     public Moment loadingSince = new Moment(0);
-    public Moment crowdedUntil = new Moment(0);
 
     public Mark(Host host) {
         this.host = host;
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -175,6 +175,23 @@
         assertTrue(told.invs.values().stream().map(inv -> inv.outs.get(0).host).distinct().count() >= 4);
     }
 
+    /** A gateway learns little alone: what it learns of a crowd is told, and strange words are passed over. */
+    @Example
+    void aSpreadIsToldAndHeard() {
+        Fleet first = new Fleet(Fleet.facts(true, true, 200), 5);
+        Fleet second = new Fleet(Fleet.facts(true, true, 200), 5);
+        for (int i = 0; i < 4; i++) {
+            first.end(first.take(0, 42, 2000).outs.get(0), Outcome.OK, 1 + 8 * 20);
+        }
+        first.pass(1000);
+        second.control.heard(7, new byte[] {9, 1, 2});
+        second.control.heard(7, first.told.get(0));
+        for (int i = 0; i < 20; i++) {
+            second.end(second.take(0, 42, 2000).outs.get(0), Outcome.OK, 1 + 8 * 2);
+        }
+        assertTrue(second.invs.values().stream().map(inv -> inv.outs.get(0).host).distinct().count() >= 3);
+    }
+
     /** A restarted host is empty, whatever it held: the walk decides again. */
     @Example
     void aRestartVoidsTheMarks() {
@@ -212,6 +229,7 @@
             Fleet.Taken taken = fleet.take(0, i, 6000);
             if (!taken.outs.isEmpty() && taken.outs.get(0).host != 101) {
                 fleet.end(taken.outs.get(0), Outcome.FULL);
+                fleet.out.stream().filter(out -> out.host != 101).toList().forEach(out -> fleet.end(out, Outcome.OK));
             }
         }
         fleet.pass(2000);
--- a/src/test/java/flintlead/Fleet.java
+++ b/src/test/java/flintlead/Fleet.java
@@ -70,6 +70,7 @@
     final Map<Long, Taken> invs = new TreeMap<>();
     final List<Out> out = new ArrayList<>();
     final List<long[]> orders = new ArrayList<>();
+    final List<byte[]> told = new ArrayList<>();
     final Map<Long, HostEntry> listed = new TreeMap<>();
     private final Map<Long, Moment> closedAt = new HashMap<>();
     private final Map<Long, List<Moment>> sentTo = new HashMap<>();
@@ -97,7 +98,7 @@
             type(9, Effect.TOKENED, Group.CELL), type(9, Effect.NON_IDEMPOTENT, Group.ALL));
         return new Deployment(0, gateways, 0, Span.ofMillis(2), false, types, List.of(40.0, 20.0),
             Span.ofMillis(8), Span.ZERO, 0.25, Span.ofMillis(17000), 2, Span.ofMillis(1500), 3, true, secondCopies,
-            true, false, true, Span.ofMillis(500), loadsWhenAbsent, true, true, true, Span.ofMillis(8000),
+            true, true, true, Span.ofMillis(500), loadsWhenAbsent, true, true, true, Span.ofMillis(8000),
             Span.ofMillis(10000), Span.ofMillis(5000), 1, 0.1, List.of("waiting"));
     }
 
@@ -294,7 +295,10 @@
     public void fetchHosts() { }
 
     @Override
-    public void tell(int gateway, byte[] words) { }
+    public void tell(int gateway, byte[] words) {
+        assertTrue(gateway != facts.index() && gateway < facts.gateways() && words.length <= 256);
+        told.add(words);
+    }
 
     @Override
     public void tellAll(byte[] words) { }
