--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -32,8 +32,8 @@
     private static final double ROOM_LEAST_OF_ALL = 5;
     private static final double ROOM_MOST = 24;
     /** Warm answers slower than this share of their latency objective on average shrink a host's room. */
-    private static final double PACE_AIM = 0.35;
-    private static final double PACE_FOLLOW = 0.1;
+    private static final double PACE_AIM = 0.3;
+    private static final double PACE_FOLLOW = 0.2;
     private static final double ROOM_SHRINK = 0.9;
     /** A function's hosts: the crowd at each that is aimed at, and the largest steps of their number. */
     private static final double CROWD_AIM = 3;
@@ -447,9 +447,9 @@
     }
 
     /**
-     * Silent: dispatches are out too long and their host has answered nothing since they went. One may be just
-     * slow where a gateway seldom hears a host: where the invocation would have to be called back, which loses
-     * it if it may not go elsewhere, more are asked for, or one out for as much longer.
+     * Silent: dispatches are out too long and their host has answered nothing since they went. One may be
+     * just slow where a gateway seldom hears a host: where the invocation would have to be called back, which
+     * loses it if it may not go elsewhere, more are asked for, or one out for as much longer.
      */
     private void watch(Invocation inv, Sent sent) {
         if (sent.outcome != null) {
