--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -12,8 +12,7 @@
  *
  * How it is invoked: one Control a gateway, made with the facts told at startup and a seed. The gateway calls
  * Dispatcher (take, host list, answers to orders) and, for each invocation taken, its Handle; Control calls
- * Gateway. These interfaces are in flintlead.port. Calls come one at a time and return at once; the only time
- * there is is Gateway.now().
+ * Gateway; all three are in flintlead.port. Calls come one at a time; the only time is Gateway.now().
  *
  * place() is the ordinary path of an invocation, Invocation.ended() what follows an outcome; the guards of
  * the five rules are mayDispatch, mayThrottle, open, coldRoom and mayOrder.
@@ -31,19 +30,21 @@
     private static final double ROOM_START = 4;
     private static final double ROOM_LEAST_OF_ALL = 5;
     private static final double ROOM_MOST = 24;
-    /** Warm answers slower than this share of their latency objective on average shrink a host's room. */
-    private static final double PACE_AIM = 0.3;
-    private static final double PACE_FOLLOW = 0.2;
+    /** Answers slower than this share of their objective narrow a host's room; many rooms swing alike. */
+    private static final double PACE_AIM = 0.35;
+    private static final double PACE_AIM_OF_MANY = 0.27;
+    private static final int MANY_GATEWAYS = 8;
+    private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
+    private static final Span SHRINK_EVERY = Span.ofMillis(200);
     /** A function's hosts: the crowd at each that is aimed at, and the largest steps of their number. */
     private static final double CROWD_AIM = 3;
+    private static final double SPREAD_UP = 2;
+    private static final double SPREAD_DOWN = 0.8;
     /** A spread that has changed by this factor is told, after this span, to so many peers. */
     private static final double TELL_FROM = 2;
     private static final Span TELL_EVERY = Span.ofMillis(300);
     private static final int TELL_PEERS = 3;
-    private static final double SPREAD_UP = 2;
-    private static final double SPREAD_DOWN = 0.8;
-    private static final Span SHRINK_EVERY = Span.ofMillis(200);
     /** Out this long (a load: JOIN_UNTIL of its time) and the host unheard since: the host is silent. */
     private static final Span SILENT_AFTER = Span.ofMillis(900);
     private static final int SILENT_PROOF = 3;
@@ -90,6 +91,7 @@
     private final Row[] rows;
     private final Span margin;
     private final double roomLeast;
+    private final double paceAim;
 
     /** All hosts ever listed, by id; the ring is those listed and not gone, sorted. */
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
@@ -123,6 +125,7 @@
         this.random = new Random(seed);
         this.begunAt = gateway.now();
         this.roomLeast = Math.max(1, ROOM_LEAST_OF_ALL / gateways);
+        this.paceAim = gateways < MANY_GATEWAYS ? PACE_AIM : PACE_AIM_OF_MANY;
         this.margin = facts.tick().times(MARGIN_TICKS);
         double most = facts.triggerTypes().stream().mapToDouble(TriggerType::billedValue).max().orElse(0);
         rows = new Row[facts.triggerTypes().size()];
@@ -189,7 +192,7 @@
         for (Mark mark : inv.fn.marks) {
             Host host = mark.host;
             if (believed(mark, now) == 0 || host.fullUntil.isAfter(now)
-                || mark.inFlight >= lanes(inv) * mark.instances || !roomy(host) || !usable(inv, host)) {
+                || mark.inFlight >= inv.lanes * mark.instances || !roomy(host) || !usable(inv, host)) {
                 continue;
             }
             parts += part;
@@ -215,10 +218,10 @@
                 continue;
             }
             if (believed(mark, now) > 0 && (mark.inFlight > 0 || !roomy(mark.host))) {
-                lanes += lanes(inv) * mark.instances;
+                lanes += inv.lanes * mark.instances;
                 first = Span.ZERO;
             } else if (mark.loading > 0 && loads.isShorterThan(load.times(JOIN_UNTIL))) {
-                lanes += lanes(inv);
+                lanes += inv.lanes;
                 first = Span.shorter(first, Span.longer(Span.ZERO, load.minus(loads)));
             }
         }
@@ -226,10 +229,6 @@
         return lanes > 0 && wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd());
     }
 
-    private static double lanes(Invocation inv) {
-        return Math.max(1, inv.call.lanes());
-    }
-
     /** The design's walk: from the function's home over the sorted ids, the same from every gateway. */
     private Host firstRoomy(Invocation inv) {
         if (loading >= loadRoom) {
@@ -560,7 +559,7 @@
             return;
         }
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
-        if (host.pace > PACE_AIM) {
+        if (host.pace > paceAim) {
             if (now.since(host.shrunkAt).isLongerThan(SHRINK_EVERY)) {
                 host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight + 1) * ROOM_SHRINK);
                 host.shrunkAt = now;
@@ -669,7 +668,7 @@
         host.asideUntil = new Moment(0);
         host.fullUntil = new Moment(0);
         host.room = ROOM_START;
-        host.pace = PACE_AIM / 2;
+        host.pace = paceAim / 2;
     }
 
     @Override
--- a/src/main/java/flintlead/state/Course.java
+++ b/src/main/java/flintlead/state/Course.java
@@ -11,6 +11,8 @@
     public final long id;
     public final Call call;
     public final Fn fn;
+    /** Invocations that one instance of its function runs at once. */
+    public final double lanes;
     public final Moment at;
     public final Moment deadline;
     public final List<Sent> dispatches = new ArrayList<>(2);
@@ -33,6 +35,7 @@
         this.id = id;
         this.call = call;
         this.fn = fn;
+        this.lanes = Math.max(1, call.lanes());
         this.at = at;
         this.deadline = at.plus(call.left());
     }
