--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -69,7 +69,7 @@
     private static final Span PULSE = Span.ofMillis(20);
     /** What a repeat or an invocation past its share counts for in the order of release. */
     private static final double REPEAT_WORTH = 0.1;
-    /** Longest hold, as a share of the latency objective. */
+    /** Longest hold, as a share of the latency objective, or of the client's time where that is shorter. */
     private static final double HOLD_SHARE = 0.35;
     /** What a throttled client is told to wait. */
     private static final Span RETRY_IN = Span.ofMillis(150);
@@ -785,7 +785,7 @@
         }
 
         Moment holdEnd() {
-            return at.plus(row.latencyObjective().times(HOLD_SHARE));
+            return at.plus(Span.shorter(row.latencyObjective(), call.left()).times(HOLD_SHARE));
         }
 
         /** Not even a warm answer would meet the latency objective or the client timeout any more. */
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -266,4 +266,15 @@
         fleet.pass(1020);
         assertEquals("throttled", taken.answer);
     }
+
+    /** One that came with little time left was once held as long as any other, past all use to its client. */
+    @Example
+    void littleTimeLeftIsHeldForLess() {
+        for (long host = 100; host < 105; host++) {
+            fleet.list(fleet.entry(host, HostEntry.State.DRAINING, 0));
+        }
+        Fleet.Taken taken = fleet.take(1, 42, 400);
+        fleet.pass(180);
+        assertEquals("throttled", taken.answer);
+    }
 }
