--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -56,7 +56,7 @@
     private static final Span ASIDE_LONGEST = Span.ofMillis(8000);
     /** With more than this share of the hosts looking bad it is not the hosts: none is left out. */
     private static final double ASIDE_MOST = 0.5;
-    /** Share of the gateway's even part of a cold host's budget that is used. */
+    /** Share of the gateway's part of a cold host's budget that is used. */
     private static final double COLD_SHARE = 0.8;
     /** A rate of answers is not judged over less than this: few answers by chance would look like many. */
     private static final Span LIFE_LEAST = Span.ofMillis(8000);
@@ -138,7 +138,7 @@
                 type.window(), Math.min(cap, 1 + further));
         }
         customers = new TokenBucket[facts.customerQuotas().size()];
-        Arrays.setAll(customers, i -> new TokenBucket(facts.customerQuotas().get(i) / gateways));
+        Arrays.setAll(customers, i -> new TokenBucket(quota(i)));
         if (facts.hostsOnRequest()) {
             gateway.follow(true);
         }
@@ -154,8 +154,7 @@
         Invocation inv = new Invocation(id, call, now);
         inv.chance = random.nextDouble();
         int customer = call.customer();
-        inv.overShare = customer < customers.length
-            && !customers[customer].take(now, facts.customerQuotas().get(customer) / gateways);
+        inv.overShare = customer < customers.length && !customers[customer].take(now, quota(customer));
         inv.worthLess = inv.overShare || call.repeat();
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time too.
         gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
@@ -163,6 +162,10 @@
         return inv;
     }
 
+    /** This gateway's even part of what a customer may send a second. */
+    private double quota(int customer) {
+        return facts.customerQuotas().get(customer) / gateways;
+    }
 
     /** The ordinary path, top to bottom. Gives back false when the invocation is (still) held. */
     private boolean place(Invocation inv) {
@@ -229,7 +232,7 @@
         return lanes > 0 && wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd());
     }
 
-    /** The design's walk: from the function's home over the sorted ids, the same from every gateway. */
+    /** The design's walk: from the function's home, over the ids by a hash, the same from all gateways. */
     private Host firstRoomy(Invocation inv) {
         if (loading >= loadRoom) {
             return null;
@@ -497,7 +500,7 @@
             adjustLoadRoom(inv, outcome, elapsed, note, now);
         }
         if (facts.tellsCrowd() && note < BEGAN_LOAD && (outcome == Outcome.OK || outcome == Outcome.FULL)) {
-            spread(inv.fn, (outcome == Outcome.OK ? 1 : CROWD_AIM) + (remark >> 3));
+            crowded(inv.fn, (outcome == Outcome.OK ? 1 : CROWD_AIM) + (remark >> 3));
         }
         switch (outcome) {
             case OK -> {
@@ -555,7 +558,7 @@
     /** Slow or crowded: the pace of warm answers against their objectives narrows or widens a host's room. */
     private void adjustRoom(Invocation inv, Sent sent, Span elapsed, int note, Moment now) {
         Host host = sent.host;
-        if (note >= BEGAN_LOAD || !sent.warm) {
+        if (!sent.warm || note >= BEGAN_LOAD) {
             return;
         }
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
@@ -570,14 +573,13 @@
     }
 
     /** Crowded: of a function held in numbers at a host, more hosts of the walk take their part. */
-    private void spread(Fn fn, double crowd) {
-        double by = Math.max(SPREAD_DOWN, Math.min(SPREAD_UP, crowd / CROWD_AIM));
-        fn.spread = Math.max(1, Math.min(ring.length, fn.spread * by));
-        tellSoon(fn);
+    private void crowded(Fn fn, double crowd) {
+        spread(fn, fn.spread * Math.max(SPREAD_DOWN, Math.min(SPREAD_UP, crowd / CROWD_AIM)));
     }
 
     /** A spread that has moved by much is told to a few peers, who tell it on if it is news to them. */
-    private void tellSoon(Fn fn) {
+    private void spread(Fn fn, double over) {
+        fn.spread = Math.max(1, Math.min(ring.length, over));
         double news = fn.spread / fn.told;
         if (facts.peers() && gateways > 1 && (news >= TELL_FROM || news <= 1 / TELL_FROM)
             && toTell.add(fn) && toTell.size() == 1) {
@@ -596,11 +598,7 @@
 
     @Override
     public void heard(int peer, byte[] words) {
-        Words.read(words, (id, spread) -> {
-            Fn fn = function(id);
-            fn.spread = Math.max(1, Math.min(ring.length, spread));
-            tellSoon(fn);
-        });
+        Words.read(words, (id, over) -> spread(function(id), over));
     }
 
     /**
--- a/src/main/java/flintlead/state/Fn.java
+++ b/src/main/java/flintlead/state/Fn.java
@@ -26,8 +26,9 @@
     /** The hosts in the order of a hash of function and id: a host's coming or going moves no other. */
     public Host[] walk(Host[] ring) {
         if (walkedOver != ring) {
+            long start = Numbers.mix(id);
             walk = ring.clone();
-            Arrays.sort(walk, Comparator.comparingLong(host -> Numbers.mix(Numbers.mix(id) + host.id())));
+            Arrays.sort(walk, Comparator.comparingLong(host -> Numbers.mix(start + host.id())));
             walkedOver = ring;
         }
         return walk;
--- a/src/main/java/flintlead/state/Host.java
+++ b/src/main/java/flintlead/state/Host.java
@@ -46,9 +46,7 @@
 
     /** What was loaded here is gone. */
     public void forgetMarks() {
-        for (Fn fn : functions) {
-            fn.marks.remove(fn.at(this));
-        }
+        functions.forEach(fn -> fn.marks.removeIf(mark -> mark.host == this));
         functions.clear();
     }
 }
