--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -259,6 +259,8 @@
         Fleet alone = new Fleet(Fleet.facts(true, false, 2), 5);
         Fleet.Taken slow = alone.take(2, 42, 2900);
         alone.pass(1500);
+        assertEquals(null, slow.outs.get(0).outcome);
+        assertEquals(1, slow.outs.size());
         alone.end(slow.outs.get(0), Outcome.OK);
         assertEquals("succeeded", slow.answer);
     }
