--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -79,6 +79,10 @@
     private static final double JOIN_UNTIL = 2.0;
     /** A typical load where the invocation does not tell it. */
     private static final Span LOAD_GUESS = Span.ofMillis(800);
+    /** For a gateway that runs for months: functions and left hosts remembered, span of a best rate. */
+    private static final int FUNCTIONS_MOST = 16_384;
+    private static final int LEFT_MOST = 1_024;
+    private static final Span RATE_LASTS = Span.ofMillis(300_000);
 
     /** What differs by trigger type. */
     private record Row(double billedValue, Span latencyObjective, Effect effect, Group group, Span window,
@@ -102,7 +106,7 @@
     private final RecentTimes orders = new RecentTimes();
     private final TokenBucket[] customers;
     /** What is known of each function, and what a warm answer takes on average. */
-    private final Map<Long, Fn> functions = new HashMap<>();
+    private final Map<Long, Fn> functions = new LinkedHashMap<>(64, 0.75f, true);
     private Span served = SERVED_GUESS;
     /** Invocations whose order after a miss is under way. */
     private final List<Invocation> ordering = new ArrayList<>();
@@ -113,10 +117,11 @@
     private boolean pulsing;
     /** Functions whose spread is to be told. */
     private final Set<Fn> toTell = new LinkedHashSet<>();
-    /** Succeeded dispatches since the gateway began, and the best rate of them up to any moment. */
-    private final Moment begunAt;
+    /** Succeeded dispatches in this span of the best rate, the best up to any moment, and the last span's. */
+    private Moment begunAt;
     private int answers;
     private double bestRate;
+    private double bestBefore;
 
     public Control(Gateway gateway, Deployment facts, long seed) {
         this.gateway = gateway;
@@ -397,21 +402,17 @@
         }
         double age = now.since(host.entry.startedAt()).over(facts.warmAfter());
         double part = facts.coldFrom() + (1 - facts.coldFrom()) * Math.max(0, age);
-        double each = bestRate / Math.max(1, ring.length);
+        double each = Math.max(bestRate, bestBefore) / Math.max(1, ring.length);
         double perSecond = COLD_SHARE * facts.fallMultiple() * part * each;
         return host.cold.fill(now, perSecond, Math.max(1, perSecond * facts.overloadFor().micros() / 2e6));
     }
 
     /** Rule 5: whether one more order to load stays in the ration. */
     private boolean mayOrder() {
-        if (!facts.orders()) {
-            return false;
-        }
-        if (facts.loadsWithin().micros() <= 0) {
-            return true;
-        }
         Moment from = gateway.now().minus(facts.loadsWithin());
-        return orders.countFrom(from) + 1 <= facts.freeLoads() + facts.loadShare() * taken.countFrom(from);
+        int recent = orders.countFrom(from);
+        return facts.orders() && (facts.loadsWithin().micros() <= 0
+            || recent + 1 <= facts.freeLoads() + facts.loadShare() * taken.countFrom(from));
     }
 
     // ---- health, by symptom ----
@@ -480,6 +481,7 @@
             if (!place(inv)) {
                 inv.held = false;
                 held.remove(inv);
+                inv.fn.held--;
             }
         } else if (facts.cancels() && inv.row.effect() != Effect.NON_IDEMPOTENT) {
             gateway.cancel(inv.id, sent.number);
@@ -511,6 +513,13 @@
                 answers++;
                 Span life = Span.longer(now.since(begunAt), LIFE_LEAST);
                 bestRate = Math.max(bestRate, answers * 1e6 / life.micros());
+                if (life.isLongerThan(RATE_LASTS)) {
+                    // Counted for ever it would overflow, and a fleet that shrank would never be believed.
+                    bestBefore = bestRate;
+                    bestRate = 0;
+                    answers = 0;
+                    begunAt = now;
+                }
                 int grown = note == BEGAN_LOAD && believed(mark, now) > 0 ? mark.instances + 1 : 1;
                 stands(mark, grown, now);
                 if (sent.warm) {
@@ -652,11 +661,24 @@
             host.entry = entry;
             host.listed = entry.state() != HostEntry.State.GONE;
         }
+        if (hosts.size() > ring.length + LEFT_MOST) {
+            hosts.values().removeIf(this::forgotten);
+        }
         ring = hosts.values().stream().filter(host -> host.listed).toArray(Host[]::new);
         hostsAside = (int) Arrays.stream(ring).filter(host -> host.asideTimes > 0).count();
         release();
     }
 
+    /** Machines come and go for months: one that has left, with nothing out there, is forgotten. */
+    private boolean forgotten(Host host) {
+        boolean idle = !host.listed && host.inFlight == 0
+            && ordering.stream().noneMatch(inv -> inv.orderedAt == host);
+        if (idle) {
+            host.forgetMarks();
+        }
+        return idle;
+    }
+
     /** A new start, under the same id too, has nothing loaded and no past. */
     private void begun(Host host) {
         host.forgetMarks();
@@ -680,6 +702,9 @@
     public void loaded(long id, long fn, Outcome outcome, Span elapsed, int copies) {
         Host host = hosts.get(id);
         Moment now = gateway.now();
+        if (host == null) {
+            return;
+        }
         if (outcome == Outcome.OK) {
             stands(function(fn).mark(host), Math.max(1, copies), now);
         } else if (outcome == Outcome.FULL) {
@@ -693,8 +718,25 @@
         release();
     }
 
+    /** The function of that id; for a new one beyond the bound the one unused longest that is idle goes. */
     private Fn function(long id) {
-        return functions.computeIfAbsent(id, Fn::new);
+        Fn fn = functions.get(id);
+        if (fn == null) {
+            fn = new Fn(id);
+            functions.put(id, fn);
+            if (functions.size() > FUNCTIONS_MOST) {
+                Iterator<Fn> eldest = functions.values().iterator();
+                Fn old = eldest.next();
+                while (old.busy()) {
+                    old = eldest.next();
+                }
+                if (old != fn) {
+                    eldest.remove();
+                    old.forget();
+                }
+            }
+        }
+        return fn;
     }
 
     private static Span loadTime(Invocation inv) {
--- a/src/main/java/flintlead/state/Fn.java
+++ b/src/main/java/flintlead/state/Fn.java
@@ -34,6 +34,22 @@
         return walk;
     }
 
+    /** Whether an invocation of it is held or out, so that what is known of it is in use. */
+    public boolean busy() {
+        for (Mark mark : marks) {
+            if (mark.inFlight > 0) {
+                return true;
+            }
+        }
+        return held > 0;
+    }
+
+    /** Leaves no mark at any host. */
+    public void forget() {
+        marks.forEach(mark -> mark.host.functions.remove(this));
+        marks.clear();
+    }
+
     /** Its mark at the host; null if there is none. */
     public Mark at(Host host) {
         for (Mark mark : marks) {
--- a/src/main/java/flintlead/state/Host.java
+++ b/src/main/java/flintlead/state/Host.java
@@ -2,8 +2,8 @@
 
 import flintlead.port.HostEntry;
 import flintlead.time.Moment;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
 
 /** What a gateway knows of one host, from its first listing on. */
 public final class Host {
@@ -11,7 +11,7 @@
     public HostEntry entry;
     public boolean listed = true;
     /** The functions that have a mark here. */
-    public final List<Fn> functions = new ArrayList<>();
+    public final Set<Fn> functions = new LinkedHashSet<>();
     /** Own dispatches out. */
     public int inFlight;
     /** Own dispatches that it may still be sent while cold. */
