Loop and transport: interfaces for clock, timers and streams, and Netty behind them

Need: the gateway, its stand-ins and clients must run on real sockets now and in virtual time later. Change: flintlead.loop holds the interfaces and a heap of timers, flintlead.netty one event loop thread with TCP and Unix domain sockets. After a stall bytes go before late timers, posted host lists before both.

--- /dev/null
+++ b/src/main/java/flintlead/loop/Loop.java
@@ -0,0 +1,24 @@
+package flintlead.loop;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+
+/**
+ * One thread of events: everything that lives on a loop is called one event at a time, and {@link #now()} is the same
+ * from the beginning of an event to its end.
+ */
+public interface Loop {
+
+    /** The time of the event under way, on a monotonic clock that all loops of a process share. */
+    Moment now();
+
+    /** Runs on this loop, not before the moment and never within the call. From the loop itself only. */
+    void at(Moment when, Runnable then);
+
+    /** Runs on this loop as an event of its own, in the order of the calls; from any thread. */
+    void execute(Runnable task);
+
+    default void after(Span span, Runnable then) {
+        at(now().plus(span), then);
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/netty/NettyStream.java
@@ -0,0 +1,144 @@
+package flintlead.netty;
+
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+
+/** One Netty channel as a {@link Stream}. */
+final class NettyStream implements Stream {
+
+    private final NettyLoop loop;
+    private StreamListener listener;
+    private Channel channel;
+    private boolean dirty;
+    private boolean behind;
+    private boolean over;
+
+    NettyStream(NettyLoop loop, StreamListener listener) {
+        this.loop = loop;
+        this.listener = listener;
+    }
+
+    void listener(StreamListener listener) {
+        this.listener = listener;
+    }
+
+    void opening(Channel channel) {
+        this.channel = channel;
+    }
+
+    void failed(String why) {
+        loop.event(() -> end(why), false);
+    }
+
+    private void end(String why) {
+        if (!over) {
+            over = true;
+            listener.closed(why);
+        }
+    }
+
+    @Override
+    public void write(ByteBuf bytes) {
+        if (over || !channel.isActive()) {
+            bytes.release();
+            return;
+        }
+        channel.write(bytes, channel.voidPromise());
+        if (!dirty) {
+            dirty = true;
+            loop.dirty(this);
+        }
+    }
+
+    void flush() {
+        dirty = false;
+        channel.flush();
+        noteBacklog();
+    }
+
+    /** Tells of an empty backlog by a write of nothing whose promise is kept when all before it has left. */
+    private void noteBacklog() {
+        if (!behind && unsent() > 0) {
+            behind = true;
+            channel.writeAndFlush(channel.alloc().buffer(0)).addListener((ChannelFutureListener) sent -> {
+                behind = false;
+                if (!over && sent.isSuccess()) {
+                    loop.event(listener::drained, false);
+                    noteBacklog();
+                }
+            });
+        }
+    }
+
+    @Override
+    public long unsent() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
+    @Override
+    public void reading(boolean on) {
+        channel.config().setAutoRead(on);
+    }
+
+    @Override
+    public void close() {
+        if (!over && channel.isActive()) {
+            channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+        } else {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void abort() {
+        channel.close();
+    }
+
+    @Override
+    public ByteBufAllocator alloc() {
+        return channel.alloc();
+    }
+
+    ChannelHandler handler() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                loop.event(listener::opened, false);
+            }
+
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                ByteBuf bytes = (ByteBuf) message;
+                loop.event(() -> {
+                    try {
+                        if (!over) {
+                            listener.received(bytes);
+                        }
+                    } finally {
+                        bytes.release();
+                    }
+                }, false);
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                loop.event(() -> end("the other end closed the connection"), false);
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                loop.event(() -> end(cause.toString()), false);
+                ctx.close();
+            }
+        };
+    }
+}
