--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -802,7 +802,8 @@
         }
 
         /** The final answer at once: throttled where another try is known to be harmless, else errored. */
-        void giveUp() {
+        @Override
+        public void giveUp() {
             if (over) {
                 return;
             }
--- /dev/null
+++ b/src/main/java/flintlead/admission/Intake.java
@@ -0,0 +1,140 @@
+package flintlead.admission;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.Random;
+
+/**
+ * Bounds of what is taken, shared between sources (a client's connection, or the program around the library).
+ *
+ * <p>A source may have no more invocations in the gateway than a share of the room that is left: dynamic thresholds
+ * (Choudhury and Hahne, "Dynamic Queue Length Thresholds for Shared-Memory Packet Switches", 1998, section III). However
+ * many invocations one client brings, room is left for the next one, no source needs a quota of its own, and a single
+ * source on an idle gateway may have most of it. What is over the threshold is throttled at once, which the client sees;
+ * what is over the connection's own window is left unread in the kernel.
+ */
+public final class Intake {
+
+    /**
+     * @param taken invocations in the gateway, from all sources
+     * @param bytes payload bytes of those
+     * @param share the part of the free room that one source may fill, as a multiple of what is left: 4 gives a lone
+     *     source four fifths of everything
+     * @param window invocations of one connection, beyond which it is not read
+     * @param windowBytes payload bytes of one connection, beyond which it is not read
+     * @param unsent answer bytes that a client has left unread, beyond which nothing is read from it
+     * @param unsentMost answer bytes beyond which it is cut off at once
+     * @param patience how long it may leave answers unread before it is cut off
+     */
+    public record Bounds(int taken, long bytes, double share, int window, long windowBytes, long unsent,
+                         long unsentMost, Span patience) {
+
+        public static final Bounds USUAL = new Bounds(10_000, 64L << 20, 4, 4_096, 16L << 20, 1L << 20, 32L << 20,
+            Span.ofMillis(10_000));
+
+        public Bounds {
+            if (taken < 1 || bytes < 1 || !(share > 0) || window < 1 || windowBytes < 1 || unsent < 1
+                || unsentMost < unsent || patience.micros() < 1) {
+                throw new IllegalArgumentException("every bound must be above zero, and unsentMost at least unsent");
+            }
+        }
+    }
+
+    /** What one source has in the gateway. */
+    public static final class Source {
+        private int calls;
+        private long bytes;
+        private long unsent;
+        private Moment behindSince;
+        private boolean held;
+
+        public int calls() {
+            return calls;
+        }
+
+        public long bytes() {
+            return bytes;
+        }
+    }
+
+    /** Below this part of a window a connection that was held back is read again: not at each answer. */
+    private static final double READ_AGAIN = 0.75;
+    /** A throttled client is told to wait this long, and as much again by chance, so that they don't return together. */
+    private static final Span COME_BACK = Span.ofMillis(100);
+
+    private final Bounds bounds;
+    private final Random random;
+    private int taken;
+    private long bytes;
+
+    public Intake(Bounds bounds, Random random) {
+        this.bounds = bounds;
+        this.random = random;
+    }
+
+    /** Whether one more invocation of the source, of so many payload bytes, is taken; what is taken is counted. */
+    public boolean take(Source source, long size) {
+        double room = bounds.share * (bounds.taken - taken);
+        double byteRoom = bounds.share * (bounds.bytes - bytes);
+        if (taken >= bounds.taken || bytes + size > bounds.bytes || source.calls >= room
+            || source.bytes + size > byteRoom) {
+            return false;
+        }
+        taken++;
+        bytes += size;
+        source.calls++;
+        source.bytes += size;
+        return true;
+    }
+
+    /** An invocation that was taken has its final answer, or its client has left. */
+    public void done(Source source, long size) {
+        taken--;
+        bytes -= size;
+        source.calls--;
+        source.bytes -= size;
+    }
+
+    /** Whether more is to be read from the source now. */
+    public boolean reads(Source source) {
+        double part = source.held ? READ_AGAIN : 1;
+        source.held = source.calls >= part * bounds.window || source.bytes >= part * bounds.windowBytes
+            || source.unsent >= part * bounds.unsent;
+        return !source.held;
+    }
+
+    /** Notes what the source has left unread of its answers. */
+    public void unsent(Source source, long unsent, Moment now) {
+        if (unsent == 0) {
+            source.behindSince = null;
+        } else if (source.unsent == 0 || unsent < source.unsent && source.behindSince != null) {
+            // It reads, however slowly: patience begins anew.
+            source.behindSince = now;
+        }
+        source.unsent = unsent;
+    }
+
+    /** Whether the source has left its answers unread for too long, or too many of them. */
+    public boolean cutOff(Source source, Moment now) {
+        return source.unsent > bounds.unsentMost
+            || source.behindSince != null && now.since(source.behindSince).isLongerThan(bounds.patience);
+    }
+
+    /** What one who was not taken is told to wait: longer the fuller the gateway is, and spread by chance. */
+    public Span comeBack() {
+        double full = (double) taken / bounds.taken;
+        return COME_BACK.times((1 + 2 * full) * (1 + random.nextDouble()));
+    }
+
+    public int taken() {
+        return taken;
+    }
+
+    public long bytes() {
+        return bytes;
+    }
+
+    public Bounds bounds() {
+        return bounds;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/cli/Commands.java
@@ -0,0 +1,38 @@
+package flintlead.cli;
+
+import flintlead.yaml.YamlException;
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** All commands. Exit codes: 0 done, 1 failed, 2 usage, 3 a rule broke. */
+@Command(name = "flintlead", mixinStandardHelpOptions = true, version = "flintlead 0.2",
+    description = "Runs calls on workers which load functions or models on demand.",
+    subcommands = {DayCommand.Demo.class, DayCommand.class, CommandLine.HelpCommand.class})
+final class Commands implements Callable<Integer> {
+
+    static final int FAILED = 1;
+    static final int USAGE = 2;
+    static final int RULE_BROKE = 3;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    static int run(String[] args) {
+        return new CommandLine(new Commands()).setExecutionExceptionHandler((e, line, parsed) -> {
+            if (e instanceof YamlException || e instanceof IOException) {
+                System.err.println(e.getMessage());
+            } else {
+                e.printStackTrace();
+            }
+            return FAILED;
+        }).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
+    }
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return USAGE;
+    }
+}
--- a/src/main/java/flintlead/cli/Main.java
+++ b/src/main/java/flintlead/cli/Main.java
@@ -4,22 +4,23 @@
 import flintlead.benchlink.MalformedFrameException;
 import java.io.IOException;
 
-/** The command line. */
+/** Where the program begins. */
 public final class Main {
 
     private Main() {
     }
 
+    /** The bench's link is started before any library is opened: it is to need none and to begin at once. */
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: flintlead benchlink");
-            System.exit(2);
-        }
-        try {
-            new BenchLink(System.in, System.out).run();
-        } catch (MalformedFrameException | IOException e) {
-            System.err.println("flintlead: " + e.getMessage());
-            System.exit(1);
+        if (args.length == 1 && args[0].equals("benchlink")) {
+            try {
+                new BenchLink(System.in, System.out).run();
+            } catch (MalformedFrameException | IOException e) {
+                System.err.println("flintlead: " + e.getMessage());
+                System.exit(1);
+            }
+            return;
         }
+        System.exit(Commands.run(args));
     }
 }
--- /dev/null
+++ b/src/main/java/flintlead/client/package-info.java
@@ -0,0 +1,2 @@
+/** A client of the JSON-RPC front: one connection, many invocations at once, answers as they come. */
+package flintlead.client;
--- /dev/null
+++ b/src/main/java/flintlead/day/Auditor.java
@@ -0,0 +1,241 @@
+package flintlead.day;
+
+import flintlead.client.Reply;
+import flintlead.gateway.Terms;
+import flintlead.port.TriggerType.Effect;
+import flintlead.port.TriggerType.Group;
+import flintlead.standin.Account;
+import flintlead.standin.Make;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToIntFunction;
+
+/**
+ * Judges the five rules by the hosts' account, the clients' tries and what the gateways were told. It shares no code
+ * with gateway or decisions: a fault common to both would hide itself.
+ */
+public final class Auditor {
+
+    /** A rule that broke, and how it shows. */
+    public record Breach(int rule, String what) {
+        @Override
+        public String toString() {
+            return "rule " + rule + ": " + what;
+        }
+    }
+
+    /** What this machine may take to carry an answer over a socket and wake a thread for it. */
+    private static final Span CARRIED = Span.ofMillis(150);
+    /** The rule 4 budget is judged with the slack for chance that the hosts themselves allow. */
+    private static final double COLD_SLACK_MS = 200;
+    private static final int MOST_TOLD = 50;
+
+    private final Terms terms;
+    private final Make make;
+    private final List<Breach> breaches = new ArrayList<>();
+
+    public Auditor(Terms terms, Make make) {
+        this.terms = terms;
+        this.make = make;
+    }
+
+    /**
+     * @param cells the group that each host belongs to, by the kind of group
+     * @return the breaches, none where all rules held
+     */
+    public List<Breach> judge(Account account, List<Try> tries, List<Told> told,
+                              Map<Group, ToIntFunction<String>> cells) {
+        answers(tries);
+        effects(account, tries, cells);
+        drains(account, told);
+        colds(account);
+        ration(account, tries);
+        return breaches.size() > MOST_TOLD ? breaches.subList(0, MOST_TOLD) : breaches;
+    }
+
+    private void breach(int rule, String what) {
+        breaches.add(new Breach(rule, what));
+    }
+
+    /** Rule 1: one answer, in the client's time. */
+    private void answers(List<Try> tries) {
+        for (Try each : tries) {
+            long finals = each.heard.stream().filter(heard -> heard.kind() != Reply.Kind.LOST).count();
+            if (finals > 1) {
+                breach(1, each.token + " got " + finals + " answers: " + each.heard);
+            }
+            if (each.excused) {
+                continue;
+            }
+            if (finals == 0) {
+                breach(1, each.token + " (" + each.triggerType + " at " + each.gateway + ") got no answer");
+                continue;
+            }
+            Span late = each.heard.get(0).at().since(each.at.plus(each.timeout).plus(terms.rules().answerSlack()));
+            if (late.isLongerThan(CARRIED)) {
+                breach(1, each.token + " was answered " + late.micros() / 1000 + " ms late");
+            }
+        }
+    }
+
+    private Terms.Trigger trigger(String name) {
+        return terms.triggerTypes().stream().filter(each -> each.name().equals(name)).findFirst().orElseThrow();
+    }
+
+    /** Rule 2: what may have run is not sent again but as its trigger type allows, and never called harmless. */
+    private void effects(Account account, List<Try> tries, Map<Group, ToIntFunction<String>> cells) {
+        Map<String, List<Account.Arrival>> arrivals = new HashMap<>();
+        for (Account.Arrival arrival : account.arrivals) {
+            arrivals.computeIfAbsent(arrival.token, any -> new ArrayList<>()).add(arrival);
+        }
+        arrivals.forEach((token, list) -> {
+            Terms.Trigger trigger = trigger(list.get(0).triggerType);
+            if (trigger.effect() == Effect.IDEMPOTENT) {
+                return;
+            }
+            Account.Arrival first = null;
+            for (Account.Arrival arrival : list) {
+                if (first != null && trigger.effect() == Effect.NON_IDEMPOTENT) {
+                    breach(2, token + " (" + trigger.name() + ") reached " + arrival.host + " after it may have run at "
+                        + first.host);
+                } else if (first != null) {
+                    ToIntFunction<String> cell = cells.get(trigger.group());
+                    boolean inGroup = cell == null || cell.applyAsInt(first.host) == cell.applyAsInt(arrival.host);
+                    Span after = arrival.at.since(first.at);
+                    if (!inGroup || !after.isShorterThan(trigger.window().plus(CARRIED))) {
+                        breach(2, token + " (" + trigger.name() + ") reached " + arrival.host + " "
+                            + after.micros() / 1000 + " ms after " + first.host + ", outside its group or window");
+                    }
+                }
+                if (!arrival.provenUnrun && first == null) {
+                    first = arrival;
+                }
+            }
+            long ran = list.stream().filter(arrival -> arrival.ranAt != null).count();
+            if (ran > 1) {
+                breach(2, token + " (" + trigger.name() + ") took effect " + ran + " times");
+            }
+        });
+        for (Try each : tries) {
+            Terms.Trigger trigger = trigger(each.triggerType);
+            boolean harmless = trigger.effect() == Effect.IDEMPOTENT
+                || trigger.effect() == Effect.TOKENED && trigger.group() == Group.ALL;
+            for (Try.Heard heard : each.heard) {
+                if (heard.kind() == Reply.Kind.THROTTLED && !harmless && arrivals.containsKey(each.token)) {
+                    for (Account.Arrival arrival : arrivals.get(each.token)) {
+                        boolean before = !arrival.at.isBefore(each.at) && arrival.at.isBefore(heard.at())
+                            && arrival.gateway.equals(each.gateway);
+                        if (before && !arrival.provenUnrun) {
+                            breach(2, each.token + " (" + trigger.name() + ") was throttled though it may have run at "
+                                + arrival.host);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** Rule 3: nothing new reaches a host later than the grace after its gateway was told that it drains or is gone. */
+    private void drains(Account account, List<Told> told) {
+        Map<String, TreeMap<Long, Boolean>> closed = new HashMap<>();
+        for (Told each : told) {
+            closed.computeIfAbsent(each.gateway() + " " + each.host(), any -> new TreeMap<>())
+                .put(each.at().micros(), each.closed());
+        }
+        for (Account.Arrival arrival : account.arrivals) {
+            closedFor(closed, arrival.gateway, arrival.host, arrival.at, "invocation " + arrival.token);
+        }
+        for (Account.Order order : account.orders) {
+            if (order.copies() > 0) {
+                closedFor(closed, order.gateway(), order.host(), order.at(), "an order to load " + order.function());
+            }
+        }
+    }
+
+    private void closedFor(Map<String, TreeMap<Long, Boolean>> closed, String gateway, String host, Moment at,
+                           String what) {
+        TreeMap<Long, Boolean> times = closed.get(gateway + " " + host);
+        Map.Entry<Long, Boolean> last = times == null ? null : times.floorEntry(at.micros());
+        if (last == null || !last.getValue()) {
+            return;
+        }
+        // The span runs from the first of several notices in a row that the host is closed.
+        long since = last.getKey();
+        for (Map.Entry<Long, Boolean> each = last; each != null && each.getValue();
+             each = times.lowerEntry(each.getKey())) {
+            since = each.getKey();
+        }
+        Span after = at.since(new Moment(since));
+        if (after.isLongerThan(terms.rules().drainGrace().plus(CARRIED))) {
+            breach(3, what + " reached " + host + " from " + gateway + " " + after.micros() / 1000
+                + " ms after it was told that the host drains or is gone");
+        }
+    }
+
+    /** Rule 4: work sent to a cold host within any window stays under the multiple of what it can do then. */
+    private void colds(Account account) {
+        for (Account.Start start : account.starts) {
+            if (!start.cold()) {
+                continue;
+            }
+            List<Account.Arrival> sent = account.arrivals.stream()
+                .filter(arrival -> arrival.host.equals(start.host()) && arrival.start == start.start())
+                .sorted(Comparator.comparing(arrival -> arrival.at)).toList();
+            int from = 0;
+            double work = 0;
+            for (Account.Arrival arrival : sent) {
+                Span age = arrival.at.since(start.at());
+                if (!age.isShorterThan(make.warmAfter())) {
+                    break;
+                }
+                work += arrival.workMs;
+                while (arrival.at.since(sent.get(from).at).isLongerThan(make.overloadFor())) {
+                    work -= sent.get(from++).workMs;
+                }
+                double part = make.coldFrom() + (1 - make.coldFrom()) * age.over(make.warmAfter());
+                double most = make.fallMultiple() * part * start.coresTimesSpeed()
+                    * make.overloadFor().micros() / 1000 + COLD_SLACK_MS;
+                if (work > most) {
+                    breach(4, start.host() + " got " + Math.round(work) + " ms of work within its window "
+                        + age.micros() / 1000 + " ms after its start, at most " + Math.round(most) + " allowed");
+                    break;
+                }
+            }
+        }
+        account.falls.forEach(fall -> breach(4, fall.host() + " fell over"));
+    }
+
+    /** Rule 5: orders to load stay within what is free plus a share of the invocations taken in the window. */
+    private void ration(Account account, List<Try> tries) {
+        Span within = terms.rules().loadsWithin();
+        if (within.micros() <= 0) {
+            return;
+        }
+        Map<String, List<Moment>> orders = new HashMap<>();
+        for (Account.Order order : account.orders) {
+            if (order.copies() > 0) {
+                orders.computeIfAbsent(order.gateway(), any -> new ArrayList<>()).add(order.at());
+            }
+        }
+        orders.forEach((gateway, times) -> {
+            for (Moment at : times) {
+                Moment from = at.minus(within);
+                long ordered = times.stream().filter(each -> !each.isAfter(at) && !each.isBefore(from)).count();
+                // What was on its way when the window began counts for the gateway, not against it.
+                Moment sentFrom = from.minus(CARRIED);
+                long taken = tries.stream().filter(each -> each.gateway.equals(gateway)
+                    && !each.at.isBefore(sentFrom) && !each.at.isAfter(at)).count();
+                if (ordered > terms.rules().freeLoads() + terms.rules().loadShare() * taken) {
+                    breach(5, gateway + " ordered " + ordered + " loads within its window for " + taken
+                        + " invocations taken");
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/day/Plan.java
@@ -0,0 +1,79 @@
+package flintlead.day;
+
+import flintlead.gateway.Terms;
+import flintlead.port.TriggerType.Effect;
+import flintlead.standin.Make;
+import flintlead.time.Span;
+import flintlead.yaml.Faults;
+import flintlead.yaml.Section;
+import flintlead.yaml.TermsReader;
+import flintlead.yaml.YamlException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * A day: how large, how busy, and what goes wrong when.
+ *
+ * @param perSecond invocations a second, over all clients
+ * @param connections of clients to each gateway
+ * @param tries that a client makes after its first
+ * @param listLag how late the host list tells of a change
+ */
+public record Plan(String name, Span lasts, int gateways, int hosts, int zones, int cells, double perSecond,
+                   int functions, int connections, int tries, Span listLag, Make make, int storeAtOnce, Terms terms,
+                   List<Trouble> troubles) {
+
+    private static final Span NONE = Span.ZERO;
+    private static final Span LONGEST = Span.ofMillis(3_600_000);
+
+    public static Plan read(Path file) throws IOException, YamlException {
+        Faults faults = new Faults(file.toString());
+        return read(Section.read(file, faults), faults);
+    }
+
+    public static Plan parse(String name, String text) throws YamlException {
+        Faults faults = new Faults(name);
+        return read(Section.read(text, faults), faults);
+    }
+
+    private static Plan read(Section top, Faults faults) throws YamlException {
+        Terms terms = top.has("triggerTypes") ? TermsReader.read(top, "gw", faults) : usualTerms(top);
+        Section host = top.section("host");
+        Set<String> tokened = terms.triggerTypes().stream().filter(each -> each.effect() == Effect.TOKENED)
+            .map(Terms.Trigger::name).collect(Collectors.toSet());
+        Make make = new Make(host.whole("cores", 4, 1, 1_000), host.number("speed", 1, 0.01, 100),
+            host.number("memoryMb", 4_000, 1, 1e9), host.whole("queue", 64, 1, 100_000),
+            host.whole("loadsAtOnce", 4, 1, 1_000), terms.hosts().loadsWhenAbsent(), host.flag("addsCopies", true),
+            host.span("idleLife", Span.ofMillis(10_000), new Span(1), LONGEST), terms.rules().coldFrom(),
+            terms.rules().warmAfter(), terms.rules().fallMultiple(), terms.rules().overloadFor(), tokened,
+            host.number("workMs", 20, 0.01, 1e6));
+        host.end();
+        List<Trouble> troubles = new ArrayList<>();
+        for (Section each : top.list("troubles")) {
+            troubles.add(new Trouble(each.oneOf("kind", Trouble.Kind.BURST), each.span("at", NONE, NONE, LONGEST),
+                each.span("for", Span.ofMillis(2_000), NONE, LONGEST), each.number("part", 0.25, 0, 1),
+                each.number("size", 2, 0, 1_000), each.span("length", Span.ofMillis(200), NONE, LONGEST)));
+            each.end();
+        }
+        Plan plan = new Plan(top.text("name", "day"), top.span("lasts", Span.ofMillis(10_000), NONE, LONGEST),
+            top.whole("gateways", 2, 1, 50), top.whole("hosts", 8, 1, 200), top.whole("zones", 2, 1, 16),
+            top.whole("cells", 2, 1, 16), top.number("perSecond", 150, 0.1, 100_000),
+            top.whole("functions", 24, 1, 100_000), top.whole("connections", 4, 1, 256), top.whole("tries", 1, 0, 10),
+            top.span("listLag", Span.ofMillis(200), NONE, LONGEST), make, top.whole("storeAtOnce", 6, 1, 10_000),
+            terms, troubles);
+        top.end();
+        faults.throwIfAny();
+        return plan;
+    }
+
+    /** The usual terms, with the hosts' ways and the rules as far as the file names them. */
+    private static Terms usualTerms(Section top) {
+        Terms usual = Terms.usual("gw");
+        return new Terms("gw", 0, 1, 0, usual.triggerTypes(), usual.customers(), usual.functions(),
+            TermsReader.rules(top.section("rules")), TermsReader.hosts(top.section("workers")));
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/front/ClientConnection.java
@@ -0,0 +1,401 @@
+package flintlead.front;
+
+import flintlead.admission.Doorkeeper;
+import flintlead.admission.Intake;
+import flintlead.gateway.Answer;
+import flintlead.gateway.Ask;
+import flintlead.gateway.RefusedException;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.rpc.Frame;
+import flintlead.rpc.Id;
+import flintlead.rpc.LineDecoder;
+import flintlead.rpc.Members;
+import flintlead.rpc.Message;
+import flintlead.rpc.RpcException;
+import flintlead.rpc.RpcReader;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** One client's connection. Whatever comes in, the worst that happens is an error to this client. */
+final class ClientConnection implements StreamListener, LineDecoder.Sink {
+
+    static final int THROTTLED = -32001;
+    static final int ERRORED = -32002;
+
+    private static final Set<String> INVOKE_MEMBERS = Set.of("function", "triggerType", "customer", "timeoutMs",
+        "token", "payload", "repeat");
+    private static final Set<String> CANCEL_MEMBERS = Set.of("id");
+
+    /** Where an answer goes: to the connection at once, or to its place in a batch. */
+    private interface Outlet {
+        ByteBuf buffer();
+
+        void done(Frame frame);
+    }
+
+    /** One invocation of this connection that has no answer yet. */
+    private static final class Pending {
+        long invocation = -1;
+    }
+
+    private final ClientFront front;
+    private final Stream stream;
+    private final LineDecoder decoder;
+    private final Intake.Source source = new Intake.Source();
+    private final Doorkeeper<ClientConnection>.Guest guest;
+    private final Map<Id, Pending> calls = new HashMap<>();
+    /** Bytes of answers that wait in batches for the rest of their batch. */
+    private long inBatches;
+    private final Set<Batch> batches = new HashSet<>();
+    private boolean paused;
+    private boolean reconsidering;
+    private boolean over;
+
+    ClientConnection(ClientFront front, Stream stream) {
+        this.front = front;
+        this.stream = stream;
+        this.decoder = new LineDecoder(front.bounds.frame(), this);
+        this.guest = front.door.enter(this, now());
+    }
+
+    private Moment now() {
+        return front.taker.loop().now();
+    }
+
+    // ---- from the stream ----
+
+    @Override
+    public void received(ByteBuf bytes) {
+        decoder.feed(bytes, stream.alloc());
+    }
+
+    @Override
+    public void drained() {
+        noteUnsent();
+        reconsider();
+    }
+
+    @Override
+    public void closed(String why) {
+        if (over) {
+            return;
+        }
+        over = true;
+        decoder.end();
+        front.gone(this);
+        front.door.leave(guest);
+        batches.forEach(Batch::drop);
+        batches.clear();
+        List<Pending> open = new ArrayList<>(calls.values());
+        calls.clear();
+        for (Pending pending : open) {
+            if (pending.invocation >= 0) {
+                front.taker.leave(pending.invocation);
+            }
+        }
+    }
+
+    void close() {
+        stream.close();
+        closed("closed here");
+    }
+
+    void abort() {
+        stream.abort();
+        closed("closed here");
+    }
+
+    // ---- lines ----
+
+    @Override
+    public void tooLong(int most) {
+        error(straight(), new RpcException(RpcException.INVALID_REQUEST, "a line has at most " + most + " bytes",
+            null));
+    }
+
+    @Override
+    public void line(ByteBuf line) {
+        try {
+            byte[] text = RpcReader.bytes(line);
+            if (text == null) {
+                return;
+            }
+            if (RpcReader.isBatch(text)) {
+                batch(front.reader.batch(text));
+            } else {
+                message(front.reader.read(text), straight(), null);
+            }
+        } catch (RpcException e) {
+            error(straight(), e);
+        }
+        holdBack();
+    }
+
+    /** The answers of a batch leave together, so one time is common to all: the shortest of its members. */
+    private void batch(List<byte[]> elements) {
+        Batch batch = new Batch(elements.size());
+        List<Object> read = new ArrayList<>();
+        Span shortest = null;
+        for (byte[] element : elements) {
+            try {
+                Message message = front.reader.read(element);
+                read.add(message);
+                Span timeout = "invoke".equals(message.method()) && message.id() != null ? timeout(message) : null;
+                shortest = timeout == null ? shortest : shortest == null ? timeout : Span.shorter(shortest, timeout);
+            } catch (RpcException e) {
+                read.add(e);
+            }
+        }
+        for (Object each : read) {
+            if (each instanceof RpcException e) {
+                error(batch, e);
+            } else {
+                message((Message) each, batch, shortest);
+            }
+        }
+    }
+
+    private Span timeout(Message message) {
+        Members params = message.params() == null ? Members.NONE : message.params();
+        return params.has("timeoutMs") ? Span.ofMillis(params.number("timeoutMs", 0))
+            : front.taker.clientTimeout(params.string("triggerType"));
+    }
+
+    /** The ordinary path of a message; the timeout is a batch's, null outside of one. */
+    private void message(Message message, Outlet outlet, Span timeout) {
+        if (message.isNotification()) {
+            // No answer can go back to it, and every invocation taken needs one: it is not run.
+            outlet.done(null);
+            return;
+        }
+        try {
+            if (message.isAnswer()) {
+                throw new RpcException(RpcException.INVALID_REQUEST, "nothing was asked of this client", message.id());
+            }
+            if (message.params() != null && !message.paramsByName()) {
+                throw new RpcException(RpcException.INVALID_PARAMS, "member 'params' must be an object", message.id());
+            }
+            Members params = message.params() == null ? Members.NONE : message.params();
+            switch (message.method()) {
+                case "invoke" -> invoke(message.id(), ask(message.id(), params, timeout), outlet);
+                case "cancel" -> cancel(message.id(), params, outlet);
+                case "ping" -> outlet.done(Frame.result(outlet.buffer(), message.id()));
+                default -> throw new RpcException(RpcException.METHOD_NOT_FOUND, "there is no method '"
+                    + message.method() + "'; there are invoke, cancel and ping", message.id());
+            }
+        } catch (RpcException e) {
+            error(outlet, e);
+        }
+    }
+
+    private static Ask ask(Id id, Members params, Span batchTimeout) throws RpcException {
+        known(id, params, INVOKE_MEMBERS);
+        for (String name : new String[] {"function", "triggerType", "customer", "token"}) {
+            if (params.has(name) && params.string(name) == null) {
+                throw new RpcException(RpcException.INVALID_PARAMS, "member '" + name + "' must be a string", id);
+            }
+        }
+        if (params.has("timeoutMs") && !(params.number("timeoutMs") > 0)) {
+            throw new RpcException(RpcException.INVALID_PARAMS, "member 'timeoutMs' must be a number above 0", id);
+        }
+        if (params.has("repeat") && !params.isBoolean("repeat")) {
+            throw new RpcException(RpcException.INVALID_PARAMS, "member 'repeat' must be true or false", id);
+        }
+        Span timeout = batchTimeout != null ? batchTimeout
+            : params.has("timeoutMs") ? Span.ofMillis(params.number("timeoutMs")) : null;
+        return new Ask(params.string("function"), params.string("triggerType"), params.string("customer"), timeout,
+            params.string("token"), params.raw("payload"), params.isTrue("repeat"));
+    }
+
+    private static void known(Id id, Members params, Set<String> names) throws RpcException {
+        for (String name : params.names()) {
+            if (!names.contains(name)) {
+                throw new RpcException(RpcException.INVALID_PARAMS, "member '" + name + "' is not known here; there are "
+                    + names.stream().sorted().toList(), id);
+            }
+        }
+    }
+
+    private void invoke(Id id, Ask ask, Outlet outlet) throws RpcException {
+        if (calls.containsKey(id)) {
+            // Under that id the answer would be taken for the answer to the first.
+            throw new RpcException(RpcException.INVALID_REQUEST, "an invocation with id " + id.json()
+                + " is in the gateway already", Id.NULL);
+        }
+        Pending pending = new Pending();
+        calls.put(id, pending);
+        front.door.busy(guest, true, now());
+        try {
+            pending.invocation = front.taker.take(ask, source, answer -> answered(id, pending, answer, outlet));
+        } catch (RefusedException e) {
+            finished(id, pending);
+            throw new RpcException(RpcException.INVALID_PARAMS, e.getMessage(), id);
+        }
+    }
+
+    private void finished(Id id, Pending pending) {
+        calls.remove(id, pending);
+        if (calls.isEmpty() && !over) {
+            front.door.busy(guest, false, now());
+        }
+    }
+
+    private void answered(Id id, Pending pending, Answer answer, Outlet outlet) {
+        finished(id, pending);
+        if (over) {
+            return;
+        }
+        ByteBuf buffer = outlet.buffer();
+        outlet.done(switch (answer.kind()) {
+            case SUCCEEDED -> Frame.result(buffer, id).raw("payload", answer.payload()).put("host", answer.host())
+                .put("dispatches", answer.dispatches());
+            case THROTTLED -> Frame.error(buffer, id, THROTTLED, "throttled: " + answer.why())
+                .put("retryInMs", answer.retryIn().micros() / 1000).put("dispatches", answer.dispatches());
+            case ERRORED -> Frame.error(buffer, id, ERRORED, "errored: " + answer.why())
+                .put("mayHaveRun", answer.mayHaveRun()).put("dispatches", answer.dispatches());
+        });
+        if (paused) {
+            reconsider();
+        }
+    }
+
+    private void cancel(Id id, Members params, Outlet outlet) throws RpcException {
+        known(id, params, CANCEL_MEMBERS);
+        byte[] raw = params.raw("id");
+        if (raw == null) {
+            throw new RpcException(RpcException.INVALID_PARAMS, "member 'id' must be that of an invocation", id);
+        }
+        Pending pending = calls.get(new Id(new String(raw, StandardCharsets.UTF_8)));
+        boolean cancelled = pending != null && front.taker.cancel(pending.invocation);
+        outlet.done(Frame.result(outlet.buffer(), id).put("cancelled", cancelled));
+    }
+
+    private void error(Outlet outlet, RpcException e) {
+        if (!over) {
+            outlet.done(Frame.error(outlet.buffer(), e.id(), e.code(), e.getMessage()));
+        }
+    }
+
+    // ---- out ----
+
+    private Outlet straight() {
+        return new Outlet() {
+            @Override
+            public ByteBuf buffer() {
+                return stream.alloc().buffer(256);
+            }
+
+            @Override
+            public void done(Frame frame) {
+                if (frame != null) {
+                    write(frame.end());
+                }
+            }
+        };
+    }
+
+    private void write(ByteBuf bytes) {
+        stream.write(bytes);
+        noteUnsent();
+    }
+
+    private void noteUnsent() {
+        long unsent = stream.unsent() + inBatches;
+        front.taker.intake().unsent(source, unsent, now());
+        if (unsent > 0) {
+            front.lookRound();
+        }
+        if (front.taker.intake().cutOff(source, now())) {
+            front.taker.loop().at(now(), this::abort);
+        }
+    }
+
+    /** Whether answers lie unread; one that has left them too long is cut off. */
+    boolean checkReader() {
+        noteUnsent();
+        reconsider();
+        return !over && stream.unsent() + inBatches > 0;
+    }
+
+    private void holdBack() {
+        if (!over && !paused && !front.taker.intake().reads(source)) {
+            paused = true;
+            decoder.pause();
+            stream.reading(false);
+            reconsider();
+        }
+    }
+
+    /** Reads on once there is room; as an event of its own, since answers may come while a line is being read. */
+    private void reconsider() {
+        if (paused && !reconsidering) {
+            reconsidering = true;
+            front.taker.loop().at(now(), () -> {
+                reconsidering = false;
+                noteUnsent();
+                if (!over && paused && front.taker.intake().reads(source)) {
+                    paused = false;
+                    decoder.resume();
+                    if (!paused && !over) {
+                        stream.reading(true);
+                    }
+                }
+            });
+        }
+    }
+
+    /** Answers of one batch, which leave together; those to notifications are left out. */
+    private final class Batch implements Outlet {
+        private int missing;
+        private ByteBuf out;
+        private boolean any;
+        private int before;
+
+        Batch(int size) {
+            this.missing = size;
+            batches.add(this);
+        }
+
+        void drop() {
+            if (out != null) {
+                out.release();
+                out = null;
+            }
+        }
+
+        @Override
+        public ByteBuf buffer() {
+            if (out == null) {
+                out = stream.alloc().buffer(512);
+            }
+            before = out.readableBytes();
+            return out.writeByte(any ? ',' : '[');
+        }
+
+        @Override
+        public void done(Frame frame) {
+            if (frame != null) {
+                frame.bare();
+                any = true;
+                inBatches += out.readableBytes() - before;
+            }
+            if (--missing == 0) {
+                batches.remove(this);
+                if (any) {
+                    inBatches -= out.readableBytes();
+                    write(out.writeByte(']').writeByte('\n'));
+                    out = null;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/front/ClientFront.java
@@ -0,0 +1,152 @@
+package flintlead.front;
+
+import flintlead.admission.Doorkeeper;
+import flintlead.admission.Intake;
+import flintlead.gateway.Flintlead;
+import flintlead.gateway.Taker;
+import flintlead.loop.Address;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.loop.Transport;
+import flintlead.rpc.Frame;
+import flintlead.rpc.Id;
+import flintlead.rpc.RpcReader;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/** A socket at which a gateway's clients come in. */
+public final class ClientFront implements Taker.Front {
+
+    private static final Span LOOK_ROUND = Span.ofMillis(250);
+
+    final Taker taker;
+    final FrontBounds bounds;
+    final RpcReader reader = new RpcReader();
+    final Doorkeeper<ClientConnection> door;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private Transport.Listening listening;
+    private boolean looking;
+    private boolean closed;
+
+    private ClientFront(Taker taker, FrontBounds bounds) {
+        this.taker = taker;
+        this.bounds = bounds;
+        this.door = new Doorkeeper<>(bounds.connections(), bounds.idleLeast());
+    }
+
+    /**
+     * Opens a socket at the address.
+     *
+     * @return where it listens
+     * @throws IOException when the address can't be bound
+     */
+    public static Address open(Flintlead gateway, Address at, FrontBounds bounds) throws IOException {
+        CompletableFuture<Transport> world = new CompletableFuture<>();
+        CompletableFuture<ClientFront> made = new CompletableFuture<>();
+        gateway.withTaker(taker -> {
+            made.complete(new ClientFront(taker, bounds));
+            world.complete(taker.transport());
+        });
+        try {
+            ClientFront front = made.join();
+            // Bound from this thread: a wait for the loop on the loop itself would never end.
+            Transport.Listening listening = world.join().listen(at, front::accept);
+            gateway.withTaker(taker -> {
+                front.listening = listening;
+                taker.add(front);
+            });
+            return listening.address();
+        } catch (CompletionException e) {
+            throw new IOException(e.getCause());
+        }
+    }
+
+    private StreamListener accept(Stream stream) {
+        Doorkeeper<ClientConnection>.Guest idle = door.toClose(taker.loop().now());
+        if (idle != null) {
+            idle.connection().close();
+        }
+        if (closed || !door.admits(taker.loop().now())) {
+            return new TurnedAway(stream);
+        }
+        ClientConnection connection = new ClientConnection(this, stream);
+        connections.add(connection);
+        return connection;
+    }
+
+    void gone(ClientConnection connection) {
+        connections.remove(connection);
+    }
+
+    /** Looks after connections whose clients leave answers unread, while there are any. */
+    void lookRound() {
+        if (!looking) {
+            looking = true;
+            taker.loop().after(LOOK_ROUND, () -> {
+                looking = false;
+                boolean behind = false;
+                for (ClientConnection connection : new ArrayList<>(connections)) {
+                    behind |= connection.checkReader();
+                }
+                if (behind) {
+                    lookRound();
+                }
+            });
+        }
+    }
+
+    @Override
+    public void stopping() {
+        if (listening != null) {
+            listening.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        stopping();
+        new ArrayList<>(connections).forEach(ClientConnection::close);
+    }
+
+    @Override
+    public void kill() {
+        closed = true;
+        stopping();
+        new ArrayList<>(connections).forEach(ClientConnection::abort);
+    }
+
+    /** One connection over the bound: told so, and closed. */
+    private final class TurnedAway implements StreamListener {
+        private final Stream stream;
+
+        TurnedAway(Stream stream) {
+            this.stream = stream;
+        }
+
+        @Override
+        public void opened() {
+            Intake intake = taker.intake();
+            stream.write(Frame.error(stream.alloc().buffer(), Id.NULL, ClientConnection.THROTTLED,
+                "the gateway has as many connections as it takes")
+                .put("retryInMs", intake.comeBack().micros() / 1000).end());
+            stream.close();
+        }
+
+        @Override
+        public void received(ByteBuf bytes) {
+            // Nothing is read of one that is turned away.
+        }
+
+        @Override
+        public void closed(String why) {
+            // Nothing of it is kept.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -0,0 +1,638 @@
+package flintlead.gateway;
+
+import flintlead.Control;
+import flintlead.admission.Intake;
+import flintlead.ids.FunctionNames;
+import flintlead.ids.Ids;
+import flintlead.ledger.Ledger;
+import flintlead.link.Exchange;
+import flintlead.link.HostLink;
+import flintlead.link.HostSpec;
+import flintlead.link.LinkBounds;
+import flintlead.loop.Loop;
+import flintlead.loop.Transport;
+import flintlead.port.Call;
+import flintlead.port.Dispatcher;
+import flintlead.port.Gateway;
+import flintlead.port.HostEntry;
+import flintlead.port.Outcome;
+import flintlead.rpc.Frame;
+import flintlead.rpc.Members;
+import flintlead.rpc.RpcReader;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+
+/**
+ * The gateway on its loop: tells {@link Control} what happens and does what it asks, one event at a time. Nothing here
+ * decides about an invocation that was taken; the ledger only sees to it that what was decided goes out once.
+ */
+final class Core implements Gateway, HostLink.Listener {
+
+    /** Names of functions remembered, to find their names again and to notice two with one number. */
+    private static final int NAMES_MOST = 65_536;
+    /** How often the last guards look: at overdue answers, at connections that are stuck. */
+    private static final Span SWEEP = Span.ofMillis(20);
+    private static final Span TIMEOUT_MOST = Span.ofMillis(600_000);
+    private static final int NAME_MOST = 256;
+    /** What one who comes while the gateway stops is told to wait: it is to find another gateway, or a new one. */
+    private static final Span STOPPING_RETRY = Span.ofMillis(500);
+    private static final int NO_CUSTOMER = Integer.MAX_VALUE;
+    private static final int CROWD_MOST = 30;
+
+    private final Terms terms;
+    private final Loop loop;
+    private final Transport transport;
+    private final LinkBounds linkBounds;
+    private final Logger log;
+    private final RpcReader reader = new RpcReader();
+    private final Random random;
+    private final Dispatcher dispatcher;
+    private final Intake intake;
+    private final Ledger<Answer> ledger;
+    private final FunctionNames names = new FunctionNames(NAMES_MOST, Ids::function);
+    private final Map<Long, Flight> flights = new HashMap<>();
+    private final TreeMap<Long, HostLink> hosts = new TreeMap<>();
+    /** What was last told of each host, which its own words may have moved on from what the list says. */
+    private final Map<Long, HostEntry> told = new HashMap<>();
+    private final Map<Long, String> starts = new HashMap<>();
+    private final Set<HostLink> leaving = new HashSet<>();
+    private final Tally tally = new Tally();
+    private final String tokenStem;
+    private long nextInvocation;
+    private boolean sweeping;
+    private boolean stopping;
+    private boolean closed;
+    private Runnable whenEmpty;
+
+    Core(Terms terms, Loop loop, Transport transport, Intake.Bounds bounds, LinkBounds linkBounds, long seed,
+         Logger log) {
+        this.terms = terms;
+        this.loop = loop;
+        this.transport = transport;
+        this.linkBounds = linkBounds;
+        this.log = log;
+        this.random = new Random(seed);
+        this.intake = new Intake(bounds, new Random(random.nextLong()));
+        this.ledger = new Ledger<>(terms.rules().answerSlack(), words -> log.error("ledger: {}", words));
+        this.tokenStem = terms.gateway() + "-" + Long.toString(random.nextLong() >>> 1, 36) + "-";
+        this.dispatcher = new Control(this, terms.deployment(), random.nextLong());
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    Intake intake() {
+        return intake;
+    }
+
+    Tally tally() {
+        return tally;
+    }
+
+    Terms terms() {
+        return terms;
+    }
+
+    Ledger<Answer> ledger() {
+        return ledger;
+    }
+
+    int flights() {
+        return flights.size();
+    }
+
+    // ---- invocations ----
+
+    /**
+     * Takes the invocation, or answers at once that it does not.
+     *
+     * @return its number, by which its client may leave it; -1 where it was throttled untaken
+     * @throws RefusedException when something in it is wrong; then nothing is ever answered
+     */
+    long take(Ask ask, Intake.Source source, Consumer<Answer> reply) throws RefusedException {
+        int type = check(ask);
+        Terms.Trigger trigger = terms.triggerTypes().get(type);
+        int customer = ask.customer() == null ? NO_CUSTOMER : terms.customer(ask.customer());
+        long function = number(ask.function());
+        if (stopping || !intake.take(source, ask.bytes())) {
+            tally.turnedAway++;
+            reply.accept(Answer.throttled(stopping ? STOPPING_RETRY : intake.comeBack(), 0,
+                stopping ? "the gateway is stopping" : "the gateway has as many invocations as it takes"));
+            return -1;
+        }
+        long id = nextInvocation++;
+        Span left = ask.timeout() == null ? trigger.clientTimeout() : ask.timeout();
+        Terms.Footprint footprint = terms.footprint(ask.function(), trigger);
+        Moment deadline = now().plus(left);
+        // Without a mark of the client's the hosts still have to know a repeat that this gateway sends.
+        String token = ask.token() == null ? tokenStem + id : ask.token();
+        Flight flight = new Flight(id, ask, token, footprint, deadline, source);
+        flights.put(id, flight);
+        ledger.open(id, deadline, answer -> {
+            intake.done(source, ask.bytes());
+            tally.count(answer);
+            reply.accept(answer);
+        });
+        sweep();
+        flight.handle = dispatcher.take(id, new Call(type, customer, function, left, Span.ZERO, false,
+            footprint.memoryMb(), footprint.lanes(), footprint.loadTime(), ask.repeat()));
+        forget(flight);
+        return id;
+    }
+
+    private int check(Ask ask) throws RefusedException {
+        if (ask.function() == null || ask.function().isEmpty() || ask.function().length() > NAME_MOST) {
+            throw new RefusedException("member 'function' must be a string of 1 to " + NAME_MOST + " characters");
+        }
+        int type = ask.triggerType() == null ? -1 : terms.triggerType(ask.triggerType());
+        if (type < 0) {
+            throw new RefusedException("member 'triggerType' must be one of "
+                + terms.triggerTypes().stream().map(Terms.Trigger::name).toList());
+        }
+        if (ask.customer() != null && terms.customer(ask.customer()) < 0) {
+            throw new RefusedException("member 'customer' names no customer known here");
+        }
+        if (ask.token() != null && (ask.token().isEmpty() || ask.token().length() > NAME_MOST)) {
+            throw new RefusedException("member 'token' must be a string of 1 to " + NAME_MOST + " characters");
+        }
+        if (ask.timeout() != null && (ask.timeout().micros() < 1 || ask.timeout().isLongerThan(TIMEOUT_MOST))) {
+            throw new RefusedException("member 'timeoutMs' must be above 0 and at most "
+                + TIMEOUT_MOST.micros() / 1000);
+        }
+        return type;
+    }
+
+    private long number(String function) throws RefusedException {
+        try {
+            return names.number(function);
+        } catch (IllegalArgumentException e) {
+            throw new RefusedException("member 'function': " + e.getMessage());
+        }
+    }
+
+    /** The client has left; what is out is called back. */
+    void leave(long invocation) {
+        if (ledger.leave(invocation)) {
+            Flight flight = flights.get(invocation);
+            intake.done(flight.source, flight.ask.bytes());
+            tally.left++;
+            flight.handle.hungUp();
+            forget(flight);
+            emptied();
+        }
+    }
+
+    /** The client wants no more of it, and an answer that says so. */
+    boolean cancelled(long invocation) {
+        Flight flight = flights.get(invocation);
+        if (flight == null || !ledger.isOpen(invocation)) {
+            return false;
+        }
+        answer(flight, Answer.errored(flight.mayHaveRun(), flight.attempts.size(), "cancelled by the client"));
+        flight.handle.hungUp();
+        forget(flight);
+        return true;
+    }
+
+    private boolean answer(Flight flight, Answer answer) {
+        boolean went = ledger.answer(flight.id, answer);
+        emptied();
+        return went;
+    }
+
+    private void forget(Flight flight) {
+        if (flight.handle != null && flight.handle.isOver() && !ledger.isOpen(flight.id)) {
+            flights.remove(flight.id);
+        }
+    }
+
+    private void ended(Flight flight, Flight.Attempt attempt, Outcome outcome, Members result, boolean loadFailed,
+                       String why) {
+        if (attempt.outcome != null) {
+            return;
+        }
+        attempt.outcome = outcome;
+        tally.outcomes[outcome.ordinal()]++;
+        boolean open = ledger.isOpen(flight.id);
+        if (outcome == Outcome.OK && open) {
+            answer(flight, Answer.succeeded(result.raw("payload"), attempt.link.spec().name(),
+                flight.attempts.size()));
+            open = false;
+        } else if (outcome != Outcome.OK) {
+            flight.trouble = why;
+        }
+        flight.handle.ended(attempt.number, outcome, now().since(attempt.at), !open,
+            remark(outcome, result, loadFailed), report(result));
+        forget(flight);
+    }
+
+    /** The wire's note: 1 to 3 how a copy was found, 4 a failed load, and eight times the crowd. */
+    private int remark(Outcome outcome, Members result, boolean loadFailed) {
+        if (outcome == Outcome.ERROR || outcome == Outcome.MISS) {
+            return loadFailed ? 4 : 0;
+        }
+        if (result == null || outcome != Outcome.OK && outcome != Outcome.FULL) {
+            return 0;
+        }
+        int crowd = (int) Math.max(0, Math.min(CROWD_MOST, result.number("crowd", 0)));
+        String copy = result.string("copy");
+        int note = copy == null || !terms.hosts().tellsWarm() ? 0 : switch (copy) {
+            case "warm" -> 1;
+            case "began" -> 2;
+            case "waited" -> 3;
+            default -> 0;
+        };
+        return note + 8 * (terms.hosts().tellsCrowd() ? crowd : 0);
+    }
+
+    private float[] report(Members result) {
+        List<String> wanted = terms.hosts().reportNames();
+        if (result == null || wanted.isEmpty() || !result.has(wanted.get(0))) {
+            return new float[0];
+        }
+        float[] report = new float[wanted.size()];
+        for (int i = 0; i < report.length; i++) {
+            report[i] = (float) result.number(wanted.get(i), 0);
+        }
+        return report;
+    }
+
+    // ---- what Control asks ----
+
+    @Override
+    public Moment now() {
+        return loop.now();
+    }
+
+    @Override
+    public void at(Moment when, Runnable then) {
+        loop.at(when, () -> {
+            if (!closed) {
+                then.run();
+            }
+        });
+    }
+
+    @Override
+    public void dispatch(long invocation, long host, Moment abandonAt) {
+        Flight flight = flights.get(invocation);
+        HostLink link = hosts.get(host);
+        Flight.Attempt attempt = new Flight.Attempt(flight.attempts.size(), link, now(), abandonAt) {
+            @Override
+            protected String method() {
+                return "run";
+            }
+
+            @Override
+            protected void params(Frame frame) {
+                frame.put("function", flight.ask.function()).put("triggerType", flight.ask.triggerType())
+                    .put("token", flight.token).put("leftMs", Math.max(0, flight.deadline.since(now()).micros() / 1000))
+                    .put("memoryMb", flight.footprint.memoryMb()).put("lanes", flight.footprint.lanes())
+                    .put("loadMs", flight.footprint.loadTime().micros() / 1000).raw("payload", flight.ask.payload());
+            }
+
+            @Override
+            protected void ended(Outcome outcome, Members result, boolean loadFailed, String why) {
+                Core.this.ended(flight, this, outcome, result, loadFailed, why);
+            }
+        };
+        flight.attempts.add(attempt);
+        tally.dispatches++;
+        if (link == null) {
+            // Left the list in the same moment as it was chosen.
+            at(now(), () -> ended(flight, attempt, Outcome.CONNECT_FAILED, null, false, "the host has left the list"));
+        } else {
+            link.run(attempt);
+        }
+    }
+
+    @Override
+    public void cancel(long invocation, int dispatch) {
+        Flight flight = flights.get(invocation);
+        Flight.Attempt attempt = flight == null ? null : flight.attempts.get(dispatch);
+        if (attempt != null && attempt.outcome == null) {
+            withdraw(flight, attempt, Outcome.CANCELLED, "called back");
+        }
+    }
+
+    private void withdraw(Flight flight, Flight.Attempt attempt, Outcome ifSent, String why) {
+        // What never left can't have run, whatever ended the wait for it.
+        boolean unsent = attempt.link == null || attempt.link.withdraw(attempt);
+        at(now(), () -> ended(flight, attempt, unsent ? Outcome.MOOT : ifSent, null, false, why));
+    }
+
+    @Override
+    public void throttle(long invocation, Span retryIn) {
+        Flight flight = flights.get(invocation);
+        answer(flight, Answer.throttled(retryIn, flight.attempts.size(),
+            flight.stopped ? "the gateway is stopping" : "no host has room in time"));
+        forget(flight);
+    }
+
+    @Override
+    public void fail(long invocation) {
+        Flight flight = flights.get(invocation);
+        boolean late = !now().plus(Span.ofMillis(20)).isBefore(flight.deadline);
+        String why = flight.trouble != null ? flight.trouble : flight.stopped ? "the gateway is stopping"
+            : late ? "no answer in the client's time" : "given up";
+        answer(flight, Answer.errored(flight.mayHaveRun(), flight.attempts.size(), why));
+        forget(flight);
+    }
+
+    @Override
+    public void load(long host, long function, int copies) {
+        HostLink link = hosts.get(host);
+        String name = names.name(function);
+        Moment asked = now();
+        if (link == null || name == null) {
+            at(now(), () -> dispatcher.loaded(host, function, Outcome.CONNECT_FAILED, Span.ZERO, 0));
+            return;
+        }
+        Exchange order = new Exchange() {
+            @Override
+            protected String method() {
+                return "load";
+            }
+
+            @Override
+            protected void params(Frame frame) {
+                frame.put("function", name).put("copies", copies);
+            }
+
+            @Override
+            protected void ended(Outcome outcome, Members result, boolean loadFailed, String why) {
+                int stand = result == null ? 0 : (int) result.number("copies", 0);
+                dispatcher.loaded(host, function, outcome == Outcome.MISS ? Outcome.ERROR : outcome,
+                    now().since(asked), stand);
+            }
+        };
+        tally.orders++;
+        link.run(order);
+        at(now().plus(terms.hosts().loadWait()), () -> {
+            if (!order.isOver()) {
+                link.withdraw(order);
+                dispatcher.loaded(host, function, Outcome.TIMEOUT, now().since(asked), 0);
+            }
+        });
+    }
+
+    @Override
+    public void unload(long host, long function) {
+        HostLink link = hosts.get(host);
+        String name = names.name(function);
+        if (link != null && name != null) {
+            link.run(new Exchange() {
+                @Override
+                protected String method() {
+                    return "unload";
+                }
+
+                @Override
+                protected void params(Frame frame) {
+                    frame.put("function", name);
+                }
+
+                @Override
+                protected void ended(Outcome outcome, Members result, boolean loadFailed, String why) {
+                    // No answer is waited for: what was not idle stays.
+                }
+            });
+        }
+    }
+
+    @Override
+    public void probe(long host) {
+        HostLink link = hosts.get(host);
+        Moment asked = now();
+        if (link != null) {
+            link.run(new Exchange() {
+                @Override
+                protected String method() {
+                    return "probe";
+                }
+
+                @Override
+                protected void params(Frame frame) {
+                    // A probe asks nothing in particular.
+                }
+
+                @Override
+                protected void ended(Outcome outcome, Members result, boolean loadFailed, String why) {
+                    dispatcher.probed(host, outcome, now().since(asked), report(result));
+                }
+            });
+        }
+    }
+
+    @Override
+    public void closeIdle(long host) {
+        HostLink link = hosts.get(host);
+        if (link != null) {
+            link.closeIdle();
+        }
+    }
+
+    @Override
+    public void follow(boolean active) {
+        // The host list is told by whoever holds it; there is nothing to subscribe to.
+    }
+
+    @Override
+    public void fetchHosts() {
+        // As for follow.
+    }
+
+    @Override
+    public void tell(int gateway, byte[] words) {
+        // Terms say that there are no messages between gateways.
+    }
+
+    @Override
+    public void tellAll(byte[] words) {
+        // As for tell.
+    }
+
+    @Override
+    public void log(String line) {
+        log.info("control: {}", line);
+    }
+
+    // ---- hosts ----
+
+    /**
+     * The whole list of hosts.
+     *
+     * @throws IllegalArgumentException when two names have one number or one stands twice; the list before stays
+     */
+    static Map<Long, HostSpec> checked(List<HostSpec> list) {
+        Map<Long, HostSpec> byNumber = new TreeMap<>();
+        for (HostSpec spec : list) {
+            HostSpec other = byNumber.put(Ids.host(spec.name()), spec);
+            if (other != null) {
+                throw new IllegalArgumentException(other.name().equals(spec.name())
+                    ? "host '" + spec.name() + "' stands twice in the list"
+                    : "hosts '" + other.name() + "' and '" + spec.name() + "' have the same number; rename one");
+            }
+        }
+        return byNumber;
+    }
+
+    void hostsAre(Map<Long, HostSpec> list) {
+        if (closed) {
+            return;
+        }
+        List<HostEntry> entries = new ArrayList<>();
+        list.forEach((number, spec) -> {
+            HostLink link = hosts.get(number);
+            if (link == null) {
+                hosts.put(number, new HostLink(spec, terms.gateway(), loop, transport, reader, linkBounds,
+                    random, this, log));
+            } else {
+                link.spec(spec);
+            }
+            HostEntry before = told.get(number);
+            Moment started = spec.startedAt();
+            if (before != null && before.startedAt().isAfter(started)) {
+                // The host itself told of a start that the list has not heard of yet.
+                started = before.startedAt();
+            }
+            HostEntry entry = new HostEntry(number, spec.zone(), spec.cell(), spec.kind(), spec.state(), started,
+                spec.weight());
+            told.put(number, entry);
+            entries.add(entry);
+        });
+        // Control first: nothing new may be on its way when the links of hosts that left are closed.
+        dispatcher.hostsAre(entries);
+        hosts.entrySet().removeIf(entry -> {
+            boolean gone = !list.containsKey(entry.getKey());
+            if (gone) {
+                told.remove(entry.getKey());
+                starts.remove(entry.getKey());
+                leaving.add(entry.getValue());
+                loop.at(now(), entry.getValue()::retire);
+            }
+            return gone;
+        });
+    }
+
+    @Override
+    public void greeted(HostLink link, String start, Span age) {
+        long number = Ids.host(link.spec().name());
+        if (hosts.get(number) != link) {
+            return;
+        }
+        String before = starts.put(number, start);
+        HostEntry entry = told.get(number);
+        boolean again = before != null && !before.equals(start);
+        boolean young = age.isShorterThan(terms.rules().warmAfter());
+        Moment started = now().minus(age);
+        if ((again || before == null && young) && started.isAfter(entry.startedAt().plus(Span.ofMillis(1000)))) {
+            log.info("host {} has started anew, {} ms ago", link.spec().name(), age.micros() / 1000);
+            changed(new HostEntry(number, entry.zone(), entry.cell(), entry.kind(), entry.state(), started,
+                entry.weight()));
+        }
+    }
+
+    @Override
+    public void draining(HostLink link) {
+        long number = Ids.host(link.spec().name());
+        HostEntry entry = told.get(number);
+        if (hosts.get(number) == link && entry.state() == HostEntry.State.READY) {
+            log.info("host {} says that it drains", link.spec().name());
+            changed(new HostEntry(number, entry.zone(), entry.cell(), entry.kind(), HostEntry.State.DRAINING,
+                entry.startedAt(), entry.weight()));
+        }
+    }
+
+    private void changed(HostEntry entry) {
+        told.put(entry.host(), entry);
+        dispatcher.hostsChanged(List.of(entry));
+    }
+
+    // ---- the last guards, and the end ----
+
+    private void sweep() {
+        if (!sweeping && !closed) {
+            sweeping = true;
+            loop.after(SWEEP, () -> {
+                sweeping = false;
+                lookRound();
+            });
+        }
+    }
+
+    private void lookRound() {
+        if (closed) {
+            return;
+        }
+        for (long late : ledger.overdue(now())) {
+            Flight flight = flights.get(late);
+            answer(flight, Answer.errored(flight.mayHaveRun(), flight.attempts.size(),
+                "no answer in the client's time"));
+            flight.handle.hungUp();
+            forget(flight);
+        }
+        List<Runnable> timeouts = new ArrayList<>(0);
+        for (Flight flight : flights.values()) {
+            for (Flight.Attempt attempt : flight.attempts) {
+                if (attempt.outcome == null && now().isAfter(attempt.abandonAt) && !attempt.isOver()) {
+                    timeouts.add(() -> withdraw(flight, attempt, Outcome.TIMEOUT, "no answer in the client's time"));
+                }
+            }
+        }
+        timeouts.forEach(Runnable::run);
+        hosts.values().forEach(link -> link.check(now()));
+        leaving.removeIf(HostLink::isIdle);
+        leaving.forEach(link -> link.check(now()));
+        if (!flights.isEmpty() || !leaving.isEmpty()) {
+            sweep();
+        }
+    }
+
+    /** Takes nothing more; runs the task once everything taken has its answer. */
+    void stopTaking(Runnable whenAnswered) {
+        stopping = true;
+        whenEmpty = whenAnswered;
+        emptied();
+    }
+
+    private void emptied() {
+        if (whenEmpty != null && ledger.size() == 0) {
+            Runnable then = whenEmpty;
+            whenEmpty = null;
+            loop.at(now(), then);
+        }
+    }
+
+    /** Answers at once all that still has no answer: throttled where Control finds that harmless, else errored. */
+    int giveUpAll() {
+        List<Long> open = ledger.open();
+        for (long invocation : open) {
+            Flight flight = flights.get(invocation);
+            if (flight != null && ledger.isOpen(invocation)) {
+                flight.stopped = true;
+                flight.handle.giveUp();
+                forget(flight);
+            }
+        }
+        return open.size();
+    }
+
+    /** Drops every connection; nothing happens here any more. */
+    void close() {
+        closed = true;
+        hosts.values().forEach(HostLink::close);
+        leaving.forEach(HostLink::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/gateway/Flight.java
@@ -0,0 +1,61 @@
+package flintlead.gateway;
+
+import flintlead.admission.Intake;
+import flintlead.link.Exchange;
+import flintlead.link.HostLink;
+import flintlead.port.Handle;
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One taken invocation in the gateway, until its last dispatch has ended. */
+final class Flight {
+
+    /** One dispatch of it. */
+    abstract static class Attempt extends Exchange {
+        final int number;
+        final HostLink link;
+        final Moment at;
+        final Moment abandonAt;
+        Outcome outcome;
+
+        Attempt(int number, HostLink link, Moment at, Moment abandonAt) {
+            this.number = number;
+            this.link = link;
+            this.at = at;
+            this.abandonAt = abandonAt;
+        }
+    }
+
+    final long id;
+    final Ask ask;
+    final String token;
+    final Terms.Footprint footprint;
+    final Moment deadline;
+    final Intake.Source source;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    Handle handle;
+    /** What the last dispatch that did not succeed said. */
+    String trouble;
+    boolean stopped;
+
+    Flight(long id, Ask ask, String token, Terms.Footprint footprint, Moment deadline, Intake.Source source) {
+        this.id = id;
+        this.ask = ask;
+        this.token = token;
+        this.footprint = footprint;
+        this.deadline = deadline;
+        this.source = source;
+    }
+
+    /** For the client's eyes only; what is sent again on the strength of it Control judges by outcomes. */
+    boolean mayHaveRun() {
+        for (Attempt attempt : attempts) {
+            if (attempt.outcome == null ? attempt.maySent() : attempt.outcome.mayHaveRun()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -0,0 +1,288 @@
+package flintlead.gateway;
+
+import flintlead.admission.Intake;
+import flintlead.link.HostSpec;
+import flintlead.link.LinkBounds;
+import flintlead.loop.Loop;
+import flintlead.loop.Transport;
+import flintlead.netty.NettyLoop;
+import flintlead.port.Outcome;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One gateway: built, started, given hosts, asked to invoke, stopped. Safe from any thread; everything it does happens
+ * on its own loop. Two in one process share nothing.
+ *
+ * <pre>{@code
+ * Flintlead gateway = Flintlead.of(terms).start();
+ * gateway.hosts(List.of(HostSpec.ready("w-1", Address.parse("tcp:127.0.0.1:4001"))));
+ * gateway.invoke(Ask.of("grade-spruce", "check")).thenAccept(answer -> ...);
+ * gateway.stop(Span.ofMillis(2000)).join();
+ * }</pre>
+ */
+public final class Flintlead implements AutoCloseable {
+
+    /** How a gateway is put together; every part has a usual value. */
+    public static final class Builder {
+        private final Terms terms;
+        private Intake.Bounds bounds = Intake.Bounds.USUAL;
+        private LinkBounds linkBounds = LinkBounds.USUAL;
+        private long seed = System.nanoTime();
+        private Loop loop;
+        private Transport transport;
+
+        private Builder(Terms terms) {
+            this.terms = terms;
+        }
+
+        public Builder bounds(Intake.Bounds intake) {
+            this.bounds = intake;
+            return this;
+        }
+
+        public Builder links(LinkBounds links) {
+            this.linkBounds = links;
+            return this;
+        }
+
+        /** The seed of all chance in this gateway. */
+        public Builder seed(long number) {
+            this.seed = number;
+            return this;
+        }
+
+        /** A loop and transport to live on, which stay their owner's; by default a thread and sockets of its own. */
+        public <L extends Loop & Transport> Builder on(L world) {
+            this.loop = world;
+            this.transport = world;
+            return this;
+        }
+
+        /** Starts it; it has no hosts yet and throttles what it can't hold. */
+        public Flintlead start() {
+            return new Flintlead(this);
+        }
+    }
+
+    private final Core core;
+    private final Loop loop;
+    private final NettyLoop own;
+    private final TakerOfCore taker;
+    private final Intake.Source inProcess = new Intake.Source();
+    private final List<Taker.Front> fronts = new ArrayList<>();
+    private final CompletableFuture<Stopped> stopped = new CompletableFuture<>();
+    private final Object gate = new Object();
+    private boolean stopAsked;
+    private boolean closed;
+
+    private Flintlead(Builder builder) {
+        Logger log = LoggerFactory.getLogger("flintlead." + builder.terms.gateway());
+        own = builder.loop == null ? new NettyLoop(builder.terms.gateway()) : null;
+        loop = own != null ? own : builder.loop;
+        Transport transport = own != null ? own : builder.transport;
+        core = new Core(builder.terms, loop, transport, builder.bounds, builder.linkBounds, builder.seed, log);
+        taker = new TakerOfCore(transport);
+    }
+
+    public static Builder of(Terms terms) {
+        return new Builder(terms);
+    }
+
+    public Terms terms() {
+        return core.terms();
+    }
+
+    /** Runs the task on the loop, or gives back false once the gateway has closed. */
+    private boolean post(Runnable task) {
+        synchronized (gate) {
+            if (closed) {
+                return false;
+            }
+            // Under the lock: what is posted before the close is run before it.
+            loop.execute(task);
+            return true;
+        }
+    }
+
+    /**
+     * Takes an invocation.
+     *
+     * @return its one final answer; ends with a {@link RefusedException} when something in it is wrong. Cancelling the
+     *     future means that its client has left.
+     */
+    public CompletableFuture<Answer> invoke(Ask ask) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        boolean posted = post(() -> {
+            if (answer.isDone()) {
+                return;
+            }
+            try {
+                long invocation = core.take(ask, inProcess, answer::complete);
+                if (invocation >= 0 && !answer.isDone()) {
+                    answer.whenComplete((any, trouble) -> {
+                        if (answer.isCancelled()) {
+                            post(() -> core.leave(invocation));
+                        }
+                    });
+                }
+            } catch (RefusedException e) {
+                answer.completeExceptionally(e);
+            }
+        });
+        if (!posted) {
+            answer.complete(Answer.throttled(Span.ofMillis(500), 0, "the gateway has stopped"));
+        }
+        return answer;
+    }
+
+    /**
+     * The whole list of hosts, in place of the one before.
+     *
+     * @throws IllegalArgumentException when names collide; the list before stays
+     */
+    public void hosts(List<HostSpec> list) {
+        Map<Long, HostSpec> checked = Core.checked(list);
+        post(() -> core.hostsAre(checked));
+    }
+
+    /** What has been counted so far; ends with an exception once the gateway has closed. */
+    public CompletableFuture<Counts> counts() {
+        CompletableFuture<Counts> counts = new CompletableFuture<>();
+        if (!post(() -> counts.complete(count()))) {
+            counts.completeExceptionally(new IllegalStateException("the gateway has closed"));
+        }
+        return counts;
+    }
+
+    private Counts count() {
+        Tally tally = core.tally();
+        Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
+        for (Outcome outcome : Outcome.values()) {
+            outcomes.put(outcome, tally.outcomes[outcome.ordinal()]);
+        }
+        return new Counts(core.ledger().taken(), tally.succeeded, tally.throttled, tally.errored, tally.turnedAway,
+            tally.left, core.ledger().keptBack(), core.ledger().lateOnes(), tally.dispatches, tally.orders,
+            core.ledger().size(), core.flights(), outcomes);
+    }
+
+    /** Calls the task on the gateway's loop with what a front needs. */
+    public void withTaker(Consumer<Taker> task) {
+        if (!post(() -> task.accept(taker))) {
+            throw new IllegalStateException("the gateway has closed");
+        }
+    }
+
+    /**
+     * Takes nothing more from now on; waits up to the grace for the answers to what it has, answers the rest at once,
+     * and closes. A second stop, or one with another grace, changes nothing about the first.
+     */
+    public CompletableFuture<Stopped> stop(Span grace) {
+        boolean first;
+        synchronized (gate) {
+            first = !stopAsked && !closed;
+            stopAsked = true;
+        }
+        if (first) {
+            post(() -> {
+                int open = core.ledger().size();
+                int[] givenUp = {0};
+                fronts.forEach(Taker.Front::stopping);
+                core.stopTaking(() -> {
+                    shut(Taker.Front::close);
+                    stopped.complete(new Stopped(open, givenUp[0]));
+                });
+                loop.after(grace, () -> givenUp[0] = core.giveUpAll());
+            });
+        }
+        return stopped;
+    }
+
+    /** Drops everything at once, as the end of the process would: what it had taken is answered no more. */
+    public void kill() {
+        synchronized (gate) {
+            stopAsked = true;
+        }
+        post(() -> {
+            shut(Taker.Front::kill);
+            stopped.complete(new Stopped(core.ledger().size(), 0));
+        });
+    }
+
+    private void shut(Consumer<Taker.Front> each) {
+        synchronized (gate) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+        }
+        fronts.forEach(each);
+        core.close();
+        if (own != null) {
+            // Answers written in this event leave when it ends; the thread goes after that.
+            loop.after(Span.ofMillis(1), own::close);
+        }
+    }
+
+    /** Stops with a short grace and waits for it. */
+    @Override
+    public void close() {
+        stop(Span.ofMillis(1000)).join();
+    }
+
+    private final class TakerOfCore implements Taker {
+        private final Transport transport;
+
+        TakerOfCore(Transport transport) {
+            this.transport = transport;
+        }
+
+        @Override
+        public Loop loop() {
+            return loop;
+        }
+
+        @Override
+        public Transport transport() {
+            return transport;
+        }
+
+        @Override
+        public Intake intake() {
+            return core.intake();
+        }
+
+        @Override
+        public long take(Ask ask, Intake.Source source, Consumer<Answer> reply) throws RefusedException {
+            return core.take(ask, source, reply);
+        }
+
+        @Override
+        public void leave(long invocation) {
+            core.leave(invocation);
+        }
+
+        @Override
+        public boolean cancel(long invocation) {
+            return core.cancelled(invocation);
+        }
+
+        @Override
+        public Span clientTimeout(String triggerType) {
+            int type = triggerType == null ? -1 : core.terms().triggerType(triggerType);
+            return type < 0 ? null : core.terms().triggerTypes().get(type).clientTimeout();
+        }
+
+        @Override
+        public void add(Front front) {
+            fronts.add(front);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/gateway/RefusedException.java
@@ -0,0 +1,11 @@
+package flintlead.gateway;
+
+/** An invocation that was not taken because something in it is wrong; the message names the member. */
+public final class RefusedException extends Exception {
+
+    private static final long serialVersionUID = 1;
+
+    RefusedException(String message) {
+        super(message, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/gateway/Taker.java
@@ -0,0 +1,51 @@
+package flintlead.gateway;
+
+import flintlead.admission.Intake;
+import flintlead.loop.Loop;
+import flintlead.loop.Transport;
+import flintlead.time.Span;
+import java.util.function.Consumer;
+
+/** The gateway as a front sees it, on the gateway's loop only. */
+public interface Taker {
+
+    Loop loop();
+
+    Transport transport();
+
+    Intake intake();
+
+    /**
+     * Takes the invocation, or throttles it untaken.
+     *
+     * @param reply hears the one final answer, perhaps within this call
+     * @return its number; -1 where it was not taken
+     * @throws RefusedException when something in it is wrong; nothing is answered then
+     */
+    long take(Ask ask, Intake.Source source, Consumer<Answer> reply) throws RefusedException;
+
+    /** Its client has left: no answer goes out. */
+    void leave(long invocation);
+
+    /** Its client wants it no more: it is answered as errored. False where it had its answer. */
+    boolean cancel(long invocation);
+
+    /** The client timeout of a trigger type; null where there is none of that name. */
+    Span clientTimeout(String triggerType);
+
+    /** A front that is to be told of the gateway's end. */
+    void add(Front front);
+
+    /** What the gateway tells its fronts. */
+    interface Front {
+
+        /** Nothing more is taken; those that are connected keep their connection for the answers still to come. */
+        void stopping();
+
+        /** Everything has its answer: what is written goes out, then the connections close. */
+        void close();
+
+        /** All connections are dropped. */
+        void kill();
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/gateway/Tally.java
@@ -0,0 +1,26 @@
+package flintlead.gateway;
+
+import flintlead.port.Outcome;
+
+/** What a gateway has counted since it began. Written on its loop only. */
+final class Tally {
+
+    long succeeded;
+    long throttled;
+    long errored;
+    /** Throttled before they were taken. */
+    long turnedAway;
+    /** Whose client left. */
+    long left;
+    long dispatches;
+    long orders;
+    final long[] outcomes = new long[Outcome.values().length];
+
+    void count(Answer answer) {
+        switch (answer.kind()) {
+            case SUCCEEDED -> succeeded++;
+            case THROTTLED -> throttled++;
+            default -> errored++;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/link/Connection.java
@@ -0,0 +1,237 @@
+package flintlead.link;
+
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.port.Outcome;
+import flintlead.rpc.Frame;
+import flintlead.rpc.LineDecoder;
+import flintlead.rpc.Members;
+import flintlead.rpc.Message;
+import flintlead.rpc.RpcException;
+import flintlead.rpc.RpcReader;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One connection to a host. It first asks who is there: an address that leads to another host than the list says would
+ * get invocations whose repeats its group does not know.
+ */
+final class Connection implements StreamListener, LineDecoder.Sink {
+
+    private static final int RANDOM_BITS = 12;
+
+    private final HostLink link;
+    private final LineDecoder decoder;
+    private final Map<Long, Exchange> out = new HashMap<>();
+    private final long helloId;
+    private Stream stream;
+    private long count;
+    private boolean ready;
+    private boolean retired;
+    private boolean over;
+    private Moment behindSince;
+
+    Connection(HostLink link) {
+        this.link = link;
+        this.decoder = new LineDecoder(link.bounds.frame(), this);
+        this.helloId = nextId();
+    }
+
+    void open(Stream opening) {
+        stream = opening;
+        link.loop.after(link.bounds.dialTime(), () -> {
+            if (!ready && !over) {
+                lost("no greeting from " + link.spec().address() + " in time");
+            }
+        });
+    }
+
+    /**
+     * Numbers in order with some bits of chance between: an answer under a wrong number, one off for example, then
+     * fits no request, instead of being taken for another one's.
+     */
+    private long nextId() {
+        return ++count << RANDOM_BITS | link.random.nextInt(1 << RANDOM_BITS);
+    }
+
+    boolean isOpening() {
+        return !ready && !over;
+    }
+
+    boolean isRetired() {
+        return retired;
+    }
+
+    boolean takes() {
+        return ready && !retired && !over && out.size() < link.bounds.inFlight()
+            && stream.unsent() < link.bounds.unsent();
+    }
+
+    int load() {
+        return out.size();
+    }
+
+    void send(Exchange exchange) {
+        exchange.callId = nextId();
+        exchange.connection = this;
+        // From here on bytes may leave at any moment, whatever becomes of the connection.
+        exchange.sent = true;
+        out.put(exchange.callId, exchange);
+        ByteBuf bytes = stream.alloc().buffer(512);
+        Frame frame = Frame.request(bytes, exchange.callId, exchange.method());
+        exchange.params(frame);
+        stream.write(frame.end());
+        if (behindSince == null && stream.unsent() >= link.bounds.unsent()) {
+            behindSince = link.loop.now();
+        }
+    }
+
+    void cancel(Exchange exchange) {
+        if (out.remove(exchange.callId) != null && !over) {
+            stream.write(Frame.notification(stream.alloc().buffer(128), "cancel").put("id", exchange.callId).end());
+            closeIfDone();
+        }
+    }
+
+    /** Takes nothing new; closes when what is out has ended. */
+    void retire() {
+        retired = true;
+        closeIfDone();
+    }
+
+    private void closeIfDone() {
+        if (retired && out.isEmpty() && !over) {
+            over = true;
+            decoder.end();
+            stream.close();
+            link.gone(this, true, "closed");
+        }
+    }
+
+    void abort() {
+        if (!over) {
+            over = true;
+            decoder.end();
+            stream.abort();
+        }
+    }
+
+    void check(Moment now) {
+        if (behindSince != null && stream.unsent() < link.bounds.unsent()) {
+            behindSince = null;
+        }
+        if (behindSince != null && now.since(behindSince).isLongerThan(link.bounds.stuck())) {
+            lost("the host reads nothing");
+        }
+    }
+
+    // ---- from the stream ----
+
+    @Override
+    public void opened() {
+        if (!over) {
+            stream.write(Frame.request(stream.alloc().buffer(128), helloId, "hello").put("gateway", link.gateway)
+                .put("host", link.spec().name()).end());
+        }
+    }
+
+    @Override
+    public void received(ByteBuf bytes) {
+        decoder.feed(bytes, stream.alloc());
+    }
+
+    @Override
+    public void drained() {
+        behindSince = null;
+        link.sendWaiting();
+    }
+
+    @Override
+    public void closed(String why) {
+        lost(why);
+    }
+
+    @Override
+    public void tooLong(int most) {
+        lost("an answer of over " + most + " bytes");
+    }
+
+    @Override
+    public void line(ByteBuf line) {
+        try {
+            byte[] text = RpcReader.bytes(line);
+            if (text != null) {
+                message(link.reader.read(text));
+            }
+        } catch (RpcException e) {
+            lost("a frame that can't be read: " + e.getMessage());
+        }
+    }
+
+    private void message(Message message) {
+        if (!message.isAnswer()) {
+            if (message.method().equals("draining")) {
+                link.drains();
+            }
+            return;
+        }
+        long id = message.id().asNumber();
+        if (id == helloId && !ready) {
+            greeted(message);
+            return;
+        }
+        Exchange exchange = out.remove(id);
+        if (exchange == null) {
+            if (id < 1 || id >> RANDOM_BITS > count || id >> RANDOM_BITS < 1) {
+                lost("an answer to a request that was never made: " + message.id().json());
+            } else {
+                link.lateAnswer();
+            }
+            return;
+        }
+        if (message.isError()) {
+            Outcome outcome = HostCodes.outcome(message.errorCode());
+            if (message.errorCode() == HostCodes.DRAINING) {
+                link.drains();
+            }
+            exchange.end(outcome, Members.NONE, message.data().isTrue("loadFailed"), message.errorMessage());
+        } else {
+            exchange.end(Outcome.OK, message.result(), false, null);
+        }
+        if (!over) {
+            closeIfDone();
+            if (link.waiting() > 0) {
+                link.sendWaiting();
+            }
+        }
+    }
+
+    private void greeted(Message message) {
+        String host = message.isError() ? null : message.result().string("host");
+        String start = message.isError() ? null : message.result().string("start");
+        if (!link.spec().name().equals(host) || start == null) {
+            lost("at " + link.spec().address() + " answers " + (host == null ? "no host" : "host '" + host + "'"));
+            return;
+        }
+        ready = true;
+        link.ready(this, start, Span.ofMillis(Math.max(0, message.result().number("ageMs", 0))));
+    }
+
+    private void lost(String why) {
+        if (over) {
+            return;
+        }
+        over = true;
+        decoder.end();
+        stream.abort();
+        List<Exchange> unanswered = new ArrayList<>(out.values());
+        out.clear();
+        link.gone(this, ready, why);
+        unanswered.forEach(exchange -> exchange.end(Outcome.RESET, null, false, "connection lost: " + why));
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/link/Exchange.java
@@ -0,0 +1,46 @@
+package flintlead.link;
+
+import flintlead.port.Outcome;
+import flintlead.rpc.Frame;
+import flintlead.rpc.Members;
+import flintlead.time.Moment;
+
+/** One request to a host and its end. */
+public abstract class Exchange {
+
+    /** Whether any byte of it may have left. From then on nothing but an answer proves that it did not run. */
+    boolean sent;
+    boolean over;
+    long callId;
+    Moment queuedAt;
+    Connection connection;
+
+    /** The method's name in the hosts' protocol. */
+    protected abstract String method();
+
+    protected abstract void params(Frame frame);
+
+    /**
+     * It has ended; called once.
+     *
+     * @param result the members of the answer; null where there was none
+     * @param loadFailed whether the host says that it ended with a load that failed
+     * @param why in words, for one that did not succeed
+     */
+    protected abstract void ended(Outcome outcome, Members result, boolean loadFailed, String why);
+
+    public boolean maySent() {
+        return sent;
+    }
+
+    public final boolean isOver() {
+        return over;
+    }
+
+    final void end(Outcome outcome, Members result, boolean loadFailed, String why) {
+        if (!over) {
+            over = true;
+            ended(outcome, result, loadFailed, why);
+        }
+    }
+}
--- a/src/main/java/flintlead/port/Handle.java
+++ b/src/main/java/flintlead/port/Handle.java
@@ -14,6 +14,9 @@
     /** The client has left. */
     void hungUp();
 
+    /** The gateway stops: the final answer is wanted now. Nothing happens where it was given. */
+    void giveUp();
+
     /** Whether nothing more can happen to it, so that the handle may be forgotten. */
     boolean isOver();
 }
--- /dev/null
+++ b/src/main/java/flintlead/standin/Account.java
@@ -0,0 +1,59 @@
+package flintlead.standin;
+
+import flintlead.time.Moment;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What reached the hosts and what ran, as they saw it themselves, on the process's clock. */
+public final class Account {
+
+    /** One invocation that reached a host. */
+    public static final class Arrival {
+        public final String host;
+        public final int start;
+        public final String gateway;
+        public final String token;
+        public final String function;
+        public final String triggerType;
+        public final Moment at;
+        public final double workMs;
+        /** Set when it took effect. */
+        public Moment ranAt;
+        /** Dropped as a repeat of one that the group knows. */
+        public boolean dropped;
+        /** Answered with full, draining or miss: it did not run, and the gateway was told so. */
+        public boolean provenUnrun;
+
+        Arrival(String host, int start, String gateway, String token, String function, String triggerType, Moment at,
+                double workMs) {
+            this.host = host;
+            this.start = start;
+            this.gateway = gateway;
+            this.token = token;
+            this.function = function;
+            this.triggerType = triggerType;
+            this.at = at;
+            this.workMs = workMs;
+        }
+    }
+
+    /** An order to load that reached a host. */
+    public record Order(String host, String gateway, String function, int copies, Moment at) { }
+
+    /** A start of a host's process. */
+    public record Start(String host, int start, Moment at, boolean cold, double coresTimesSpeed) { }
+
+    /** A cold host was pushed over. */
+    public record Fall(String host, Moment at) { }
+
+    /** A host told its gateways that it drains. */
+    public record Drain(String host, int start, Moment at) { }
+
+    public final List<Arrival> arrivals = new ArrayList<>();
+    public final List<Order> orders = new ArrayList<>();
+    public final List<Start> starts = new ArrayList<>();
+    public final List<Fall> falls = new ArrayList<>();
+    public final List<Drain> drains = new ArrayList<>();
+    public int loads;
+    public int fetches;
+}
