--- a/src/main/java/flintlead/cli/Commands.java
+++ b/src/main/java/flintlead/cli/Commands.java
@@ -9,7 +9,9 @@
 /** All commands. Exit codes: 0 done, 1 failed, 2 usage, 3 a rule broke. */
 @Command(name = "flintlead", mixinStandardHelpOptions = true, version = "flintlead 0.2",
     description = "Runs calls on workers which load functions or models on demand.",
-    subcommands = {DayCommand.Demo.class, DayCommand.class, CommandLine.HelpCommand.class})
+    subcommands = {DayCommand.Demo.class, ServeCommand.class,
+        ServeCommand.Check.class, CallCommand.class, HostCommand.class, DayCommand.class, LoadCommand.class,
+        CommandLine.HelpCommand.class})
 final class Commands implements Callable<Integer> {
 
     static final int FAILED = 1;
--- /dev/null
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -0,0 +1,61 @@
+package flintlead.daemon;
+
+import flintlead.front.ClientFront;
+import flintlead.gateway.Flintlead;
+import flintlead.gateway.Stopped;
+import flintlead.loop.Address;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A gateway with its fronts, as a file describes them. */
+public final class Daemon {
+
+    private final Logger log = LoggerFactory.getLogger(Daemon.class);
+    private final Installation installation;
+    private final Flintlead gateway;
+    private final List<Address> addresses = new ArrayList<>();
+
+    private Daemon(Installation installation, Flintlead gateway) {
+        this.installation = installation;
+        this.gateway = gateway;
+    }
+
+    /** @throws IOException when an address can't be bound; then nothing is left running */
+    public static Daemon start(Installation installation) throws IOException {
+        Flintlead gateway = Flintlead.of(installation.terms()).bounds(installation.intake())
+            .links(installation.links()).start();
+        Daemon daemon = new Daemon(installation, gateway);
+        gateway.hosts(installation.hosts());
+        try {
+            for (Address address : installation.listen()) {
+                daemon.addresses.add(ClientFront.open(gateway, address, installation.front()));
+            }
+        } catch (IOException e) {
+            gateway.kill();
+            throw e;
+        }
+        daemon.log.info("{} takes invocations at {}, {} hosts", installation.terms().gateway(), daemon.addresses,
+            installation.hosts().size());
+        return daemon;
+    }
+
+    public Flintlead gateway() {
+        return gateway;
+    }
+
+    /** Where clients come in: the ports chosen, where port 0 was asked for. */
+    public List<Address> addresses() {
+        return addresses;
+    }
+
+    /** Stops within the file's grace; what SIGTERM asks for. */
+    public Stopped stop() {
+        Stopped stopped = gateway.stop(installation.stopGrace()).join();
+        log.info("stopped: {} invocations were open, {} of them answered when the grace was over", stopped.open(),
+            stopped.givenUp());
+        return stopped;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/daemon/Installation.java
@@ -0,0 +1,123 @@
+package flintlead.daemon;
+
+import flintlead.admission.Intake;
+import flintlead.front.FrontBounds;
+import flintlead.gateway.Terms;
+import flintlead.ids.Ids;
+import flintlead.link.HostSpec;
+import flintlead.link.LinkBounds;
+import flintlead.loop.Address;
+import flintlead.port.HostEntry;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import flintlead.yaml.Faults;
+import flintlead.yaml.Section;
+import flintlead.yaml.TermsReader;
+import flintlead.yaml.YamlException;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a daemon's file says: the terms, the hosts, where clients come in, the bounds, and how long a stop may take.
+ *
+ * @param listen addresses at which clients come in
+ */
+public record Installation(Terms terms, List<HostSpec> hosts, List<Address> listen, Intake.Bounds intake,
+                           FrontBounds front, LinkBounds links, Span stopGrace) {
+
+    private static final Span SHORTEST = new Span(1);
+    private static final Span LONGEST = Span.ofMillis(3_600_000);
+    private static final int MANY = 1_000_000;
+    private static final double BYTES_MOST = 1L << 40;
+
+    /** @throws YamlException with a line for each fault: file, line, key and fix */
+    public static Installation read(Path file) throws IOException, YamlException {
+        Faults faults = new Faults(file.toString());
+        return read(Section.read(file, faults), faults);
+    }
+
+    public static Installation parse(String name, String text) throws YamlException {
+        Faults faults = new Faults(name);
+        return read(Section.read(text, faults), faults);
+    }
+
+    private static Installation read(Section top, Faults faults) throws YamlException {
+        Terms terms = TermsReader.read(top, "flintlead", faults);
+        List<HostSpec> hosts = hosts(top);
+        List<Address> listen = new ArrayList<>();
+        for (String text : top.texts("listen", List.of())) {
+            address(top, "listen", text, listen);
+        }
+        if (listen.isEmpty()) {
+            top.wrong("listen", "names no address", "write listen: [\"unix:/run/flintlead.sock\"]");
+        }
+        Section bounds = top.section("bounds");
+        Intake.Bounds intake = intake(bounds);
+        FrontBounds front = new FrontBounds(bounds.whole("connections", FrontBounds.USUAL.connections(), 1, MANY),
+            bounds.whole("frameBytes", FrontBounds.USUAL.frame(), 64, 1 << 30),
+            bounds.span("idleLeast", FrontBounds.USUAL.idleLeast(), Span.ZERO, LONGEST));
+        LinkBounds usual = LinkBounds.USUAL;
+        LinkBounds links = new LinkBounds(bounds.whole("hostConnections", usual.connections(), 1, 64),
+            bounds.whole("hostInFlight", usual.inFlight(), 1, MANY),
+            bounds.whole("hostWaiting", usual.waiting(), 1, MANY),
+            (long) bounds.number("hostUnsentBytes", usual.unsent(), 1, BYTES_MOST),
+            bounds.whole("hostFrameBytes", usual.frame(), 64, 1 << 30),
+            bounds.span("dialTime", usual.dialTime(), SHORTEST, LONGEST),
+            bounds.span("stuckAfter", usual.stuck(), SHORTEST, LONGEST));
+        bounds.end();
+        Span grace = top.span("stopGrace", Span.ofMillis(5_000), Span.ZERO, LONGEST);
+        top.end();
+        faults.throwIfAny();
+        return new Installation(terms, hosts, listen, intake, front, links, grace);
+    }
+
+    private static Intake.Bounds intake(Section from) {
+        Intake.Bounds usual = Intake.Bounds.USUAL;
+        long unsent = (long) from.number("unsentBytes", usual.unsent(), 1, BYTES_MOST);
+        long unsentMost = (long) from.number("unsentMostBytes", Math.max(unsent, usual.unsentMost()), 1, BYTES_MOST);
+        if (unsentMost < unsent) {
+            from.wrong("unsentMostBytes", "is below unsentBytes", "make it at least " + unsent);
+            unsentMost = unsent;
+        }
+        return new Intake.Bounds(from.whole("taken", usual.taken(), 1, MANY),
+            (long) from.number("takenBytes", usual.bytes(), 1, BYTES_MOST), from.number("share", usual.share(), 0.01, 1e6),
+            from.whole("window", usual.window(), 1, MANY),
+            (long) from.number("windowBytes", usual.windowBytes(), 1, BYTES_MOST), unsent, unsentMost,
+            from.span("patience", usual.patience(), SHORTEST, LONGEST));
+    }
+
+    private static List<HostSpec> hosts(Section top) {
+        List<HostSpec> hosts = new ArrayList<>();
+        Map<Long, String> names = new HashMap<>();
+        for (Section each : top.list("hosts")) {
+            String name = each.text("name", null);
+            List<Address> address = new ArrayList<>();
+            address(each, "address", each.text("address", null), address);
+            HostSpec spec = new HostSpec(name, address.isEmpty() ? null : address.get(0),
+                each.whole("zone", 0, 0, 65_535), each.whole("cell", 0, 0, 65_535), each.whole("kind", 0, 0, 255),
+                each.oneOf("state", HostEntry.State.READY), new Moment(0), each.number("weight", 1, 0, 1e6));
+            each.end();
+            String other = names.put(Ids.host(name), name);
+            if (other != null) {
+                each.wrong("name", "'" + name + "' " + (other.equals(name) ? "stands twice"
+                    : "has the same number as '" + other + "'"), "rename one of them");
+            }
+            hosts.add(spec);
+        }
+        return hosts;
+    }
+
+    private static void address(Section from, String key, String text, List<Address> into) {
+        if (!text.isEmpty()) {
+            try {
+                into.add(Address.parse(text));
+            } catch (IllegalArgumentException e) {
+                from.wrong(key, e.getMessage(), "write unix:/path or tcp:127.0.0.1:4001");
+            }
+        }
+    }
+}
--- a/src/main/java/flintlead/gateway/Core.java
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -565,10 +565,11 @@
     private void sweep() {
         if (!sweeping && !closed) {
             sweeping = true;
-            loop.after(SWEEP, () -> {
+            loop.after(SWEEP, () -> loop.at(now(), () -> {
+                // After a stall Control's own timers, due later than this one, must go first: they know better.
                 sweeping = false;
                 lookRound();
-            });
+            }));
         }
     }
 
--- /dev/null
+++ b/src/main/java/flintlead/load/Bout.java
@@ -0,0 +1,120 @@
+package flintlead.load;
+
+import flintlead.admission.Intake;
+import flintlead.front.ClientFront;
+import flintlead.front.FrontBounds;
+import flintlead.gateway.Flintlead;
+import flintlead.gateway.Terms;
+import flintlead.link.HostSpec;
+import flintlead.link.LinkBounds;
+import flintlead.loop.Address;
+import flintlead.netty.NettyLoop;
+import flintlead.time.Span;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One comparison: bare hosts and the same hosts behind a gateway, by turns in one process. */
+public record Bout(int hosts, int connections, int out, int size, int functions, int seconds, double rate,
+                   int atOnce) {
+
+    private static final Span TIMEOUT = Span.ofMillis(3_000);
+    private static final double HALF = 0.5;
+    /** So that every gateway limit lies above what this tool sends. */
+    private static final Intake.Bounds WIDE = new Intake.Bounds(100_000, 1L << 30, 8, 50_000, 512L << 20, 64L << 20,
+        512L << 20, Span.ofMillis(10_000));
+
+    /** @return whether everything sent was answered */
+    public boolean run(PrintStream print) throws IOException {
+        Path folder = Files.createTempDirectory("flintlead-load");
+        List<NettyLoop> loops = new ArrayList<>();
+        try {
+            Flintlead gateway = gateway(folder, loops, Span.ZERO, "w");
+            List<Address> bare = new ArrayList<>();
+            for (int i = 0; i < hosts; i++) {
+                bare.add(new Address.Unix(folder.resolve("w-" + i)));
+            }
+            Address front = ClientFront.open(gateway, new Address.Unix(folder.resolve("front")),
+                new FrontBounds(1_024, 8 << 20, Span.ZERO));
+            NettyLoop clients = loop(loops, "clients");
+            Loader direct = new Loader(clients, bare, connections, size, functions, "check", TIMEOUT, 1);
+            Loader through = new Loader(clients, List.of(front), connections, size, functions, "check", TIMEOUT, 1);
+            Span part = Span.ofMillis(seconds * 1000.0);
+            direct.closed(out, part);
+            through.closed(out, part);
+            Loader.Measured most = direct.closed(out, part);
+            Loader.Measured gatewayMost = through.closed(out, part);
+            print.printf("the most with %d out, %d byte payloads: bare %.0f/s, through the gateway %.0f/s (%.2f)%n", out,
+                size, most.perSecond(), gatewayMost.perSecond(), gatewayMost.perSecond() / most.perSecond());
+            double perSecond = rate > 0 ? rate : HALF * gatewayMost.perSecond();
+            through.open(perSecond, part);
+            Loader.Measured bareTimes = direct.open(perSecond, part);
+            Loader.Measured times = through.open(perSecond, part);
+            print.printf("open loop at %.0f/s: %d sent, %d succeeded, %d throttled, %d other%n", perSecond, times.sent(),
+                times.succeeded(), times.throttled(), times.other());
+            for (double percentile : new double[] {50, 99, 99.9}) {
+                long without = bareTimes.micros().getValueAtPercentile(percentile);
+                long with = times.micros().getValueAtPercentile(percentile);
+                print.printf("  p%-5s bare %6d us, through the gateway %6d us: %6d us added, ratio %.2f%n",
+                    percentile == Math.rint(percentile) ? Long.toString((long) percentile) : Double.toString(percentile),
+                    without, with, with - without, (double) with / without);
+            }
+            boolean whole = times.other() == 0 && gatewayMost.other() == 0;
+            gateway.stop(Span.ofMillis(500)).join();
+            return whole & (atOnce == 0 || manyAtOnce(folder, loops, print));
+        } finally {
+            loops.forEach(NettyLoop::close);
+            try (var files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.deleteIfExists(file);
+                }
+            }
+            Files.deleteIfExists(folder);
+        }
+    }
+
+    private static NettyLoop loop(List<NettyLoop> loops, String name) {
+        NettyLoop loop = new NettyLoop(name);
+        loops.add(loop);
+        return loop;
+    }
+
+    private Flintlead gateway(Path folder, List<NettyLoop> loops, Span after, String stem) throws IOException {
+        List<HostSpec> list = new ArrayList<>();
+        NettyLoop[] hostLoops = {loop(loops, "hosts-0"), loop(loops, "hosts-1")};
+        for (int i = 0; i < hosts; i++) {
+            String name = stem + "-" + i;
+            Address at = new EchoHost(name, hostLoops[i % 2], after).listen(new Address.Unix(folder.resolve(name)));
+            list.add(HostSpec.ready(name, at));
+        }
+        Terms usual = Terms.usual("gw");
+        // Many lanes: what is measured is the gateway, not the wait for a lane of an imagined host.
+        Terms.Footprint wide = new Terms.Footprint(1, 1_000, Span.ofMillis(10));
+        Terms terms = new Terms("gw", 0, 1, 0, usual.triggerTypes().stream().map(each -> new Terms.Trigger(each.name(),
+            each.latencyObjective(), each.clientTimeout(), each.billedValue(), each.effect(), each.group(),
+            each.window(), wide)).toList(), usual.customers(), usual.functions(), usual.rules(), usual.hosts());
+        Flintlead gateway = Flintlead.of(terms).bounds(WIDE).links(new LinkBounds(4, 50_000, 50_000, 64L << 20, 8 << 20,
+            Span.ofMillis(2_000), Span.ofMillis(5_000))).seed(1).start();
+        gateway.hosts(list);
+        return gateway;
+    }
+
+    /** So many invocations in flight at once. */
+    private boolean manyAtOnce(Path folder, List<NettyLoop> loops, PrintStream print) throws IOException {
+        Flintlead gateway = gateway(folder, loops, Span.ofMillis(1_000), "slow");
+        Address front = ClientFront.open(gateway, new Address.Unix(folder.resolve("slow-front")),
+            new FrontBounds(1_024, 8 << 20, Span.ZERO));
+        Loader loader = new Loader(loop(loops, "many"), List.of(front), connections, size, functions, "check",
+            Span.ofMillis(10_000), 1);
+        Loader.Measured all = loader.closed(atOnce, Span.ofMillis(3_000));
+        Runtime java = Runtime.getRuntime();
+        print.printf("%d in flight: %d succeeded, %d throttled, %d other; heap %d MB used of %d MB%n", atOnce,
+            all.succeeded(), all.throttled(), all.other(), (java.totalMemory() - java.freeMemory()) >> 20,
+            java.maxMemory() >> 20);
+        gateway.stop(Span.ofMillis(500)).join();
+        return all.other() == 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/load/Loader.java
@@ -0,0 +1,151 @@
+package flintlead.load;
+
+import flintlead.client.Client;
+import flintlead.client.Reply;
+import flintlead.loop.Address;
+import flintlead.netty.NettyLoop;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Sends invocations over a few connections. Open: each at its scheduled moment, and timed from that moment, whether or
+ * not earlier ones have been answered, so that a pause of the server is seen by all whom it would have met (no
+ * coordinated omission). Closed: so many out at a time, to find the most that goes through.
+ */
+public final class Loader {
+
+    /** What was measured. Times in microseconds, of answers that succeeded. */
+    public record Measured(long sent, long succeeded, long throttled, long other, double perSecond, Histogram micros) { }
+
+    private static final Span STEP = new Span(250);
+
+    private final NettyLoop loop;
+    private final List<Client> clients = new ArrayList<>();
+    private final byte[] payload;
+    private final int functions;
+    private final String type;
+    private final Span timeout;
+    private final Random random;
+
+    private long sent;
+    private long succeeded;
+    private long throttled;
+    private long other;
+    private Histogram micros = fresh();
+
+    /** @param size bytes of each payload */
+    public Loader(NettyLoop loop, List<Address> to, int connections, int size, int functions, String type, Span timeout,
+                  long seed) {
+        this.loop = loop;
+        this.functions = functions;
+        this.type = type;
+        this.timeout = timeout;
+        this.random = new Random(seed);
+        StringBuilder text = new StringBuilder(size).append('"');
+        while (text.length() < size - 1) {
+            text.append((char) ('a' + random.nextInt(26)));
+        }
+        payload = text.append('"').toString().getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+        CompletableFuture<Void> made = new CompletableFuture<>();
+        loop.execute(() -> {
+            for (int i = 0; i < connections; i++) {
+                clients.add(Client.connect(loop, to.get(i % to.size()), () -> { }));
+            }
+            made.complete(null);
+        });
+        made.join();
+    }
+
+    private static Histogram fresh() {
+        return new Histogram(600_000_000L, 3);
+    }
+
+    private void reset() {
+        sent = 0;
+        succeeded = 0;
+        throttled = 0;
+        other = 0;
+        micros = fresh();
+    }
+
+    private Measured measured(Span lasted) {
+        return new Measured(sent, succeeded, throttled, other, succeeded * 1e6 / lasted.micros(), micros);
+    }
+
+    private void send(Moment from, Runnable then) {
+        Client client = clients.get((int) (sent++ % clients.size()));
+        client.invoke("fn-" + random.nextInt(functions), type, null, timeout, null, payload, false, reply -> {
+            if (reply.kind() == Reply.Kind.SUCCEEDED) {
+                succeeded++;
+                micros.recordValue(Math.max(0, NettyLoop.clock().since(from).micros()));
+            } else if (reply.kind() == Reply.Kind.THROTTLED) {
+                throttled++;
+            } else {
+                other++;
+            }
+            then.run();
+        });
+    }
+
+    /** Keeps so many invocations out for the time; the throughput is the most that goes through. */
+    public Measured closed(int out, Span lasts) {
+        CompletableFuture<Measured> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            reset();
+            Moment begin = loop.now();
+            Moment end = begin.plus(lasts);
+            int[] open = {0};
+            Runnable[] again = new Runnable[1];
+            again[0] = () -> {
+                open[0]--;
+                if (loop.now().isBefore(end)) {
+                    open[0]++;
+                    send(loop.now(), again[0]);
+                } else if (open[0] == 0) {
+                    done.complete(measured(loop.now().since(begin)));
+                }
+            };
+            for (int i = 0; i < out; i++) {
+                open[0]++;
+                send(loop.now(), again[0]);
+            }
+        });
+        return done.join();
+    }
+
+    /** Sends at the rate, Poisson, for the time, and waits for the answers. */
+    public Measured open(double perSecond, Span lasts) {
+        CompletableFuture<Measured> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            reset();
+            Moment begin = loop.now();
+            step(begin, begin, begin.plus(lasts), perSecond, new long[1], done);
+        });
+        return done.join();
+    }
+
+    private void step(Moment begin, Moment next, Moment end, double perSecond, long[] open,
+                      CompletableFuture<Measured> done) {
+        Moment due = next;
+        while (!due.isAfter(loop.now()) && due.isBefore(end)) {
+            open[0]++;
+            send(due, () -> open[0]--);
+            due = due.plus(new Span(Math.round(-Math.log(1 - random.nextDouble()) / perSecond * 1e6)));
+        }
+        Moment following = due;
+        if (following.isBefore(end) || open[0] > 0) {
+            loop.after(STEP, () -> step(begin, following, end, perSecond, open, done));
+        } else {
+            done.complete(measured(end.since(begin)));
+        }
+    }
+
+    public void close() {
+        loop.execute(() -> clients.forEach(Client::close));
+    }
+}
--- a/src/main/java/flintlead/standin/Account.java
+++ b/src/main/java/flintlead/standin/Account.java
@@ -56,4 +56,22 @@
     public final List<Drain> drains = new ArrayList<>();
     public int loads;
     public int fetches;
+    private final int most;
+
+    /** @param most arrivals that are kept: a host that runs for long must not fill its memory with them */
+    public Account(int most) {
+        this.most = most;
+    }
+
+    void arrived(Arrival arrival) {
+        if (arrivals.size() < most) {
+            arrivals.add(arrival);
+        }
+    }
+
+    void ordered(Order order) {
+        if (orders.size() < most) {
+            orders.add(order);
+        }
+    }
 }
