--- a/src/main/java/flintlead/netty/NettyLoop.java
+++ b/src/main/java/flintlead/netty/NettyLoop.java
@@ -232,7 +232,10 @@
 
             @Override
             public void close() {
-                channel.close();
+                ChannelFuture closing = channel.close();
+                if (!thread.inEventLoop()) {
+                    closing.awaitUninterruptibly();
+                }
                 if (at instanceof Address.Unix unix) {
                     try {
                         Files.deleteIfExists(unix.path());
--- /dev/null
+++ b/src/test/java/flintlead/ledger/LedgerTest.java
@@ -0,0 +1,75 @@
+package flintlead.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** Exactly one answer for each invocation taken, whatever the gateway above does. */
+class LedgerTest {
+
+    private final List<String> alarms = new ArrayList<>();
+    private final Ledger<String> ledger = new Ledger<>(new Span(50), alarms::add);
+
+    @Property(tries = 200, seed = "4714")
+    void anyOrderOfCallsLetsOneAnswerOut(@ForAll long seed) {
+        Ledger<String> any = new Ledger<>(new Span(5), alarms::add);
+        Random random = new Random(seed);
+        Map<Long, Integer> heard = new HashMap<>();
+        Set<Long> left = new HashSet<>();
+        long next = 0;
+        for (long at = 0; at < 300; at++) {
+            long id = next == 0 ? 0 : random.nextLong(next);
+            switch (random.nextInt(4)) {
+                case 0 -> {
+                    long fresh = next++;
+                    any.open(fresh, new Moment(at + random.nextInt(20)), answer -> heard.merge(fresh, 1, Integer::sum));
+                }
+                case 1 -> any.answer(id, "a");
+                case 2 -> {
+                    if (any.leave(id)) {
+                        left.add(id);
+                    }
+                }
+                default -> any.overdue(new Moment(at)).forEach(late -> any.answer(late, "late"));
+            }
+        }
+        any.overdue(new Moment(1_000_000)).forEach(late -> any.answer(late, "late"));
+        assertEquals(0, any.size());
+        for (long id = 0; id < next; id++) {
+            assertEquals(left.contains(id) ? 0 : 1, heard.getOrDefault(id, 0));
+        }
+        assertEquals(any.taken(), any.answered() + any.left());
+    }
+
+    @Test
+    void aSecondAnswerIsKeptBackAndSaidLoudly() {
+        List<String> heard = new ArrayList<>();
+        ledger.open(1, new Moment(100), heard::add);
+        assertTrue(ledger.answer(1, "first"));
+        ledger.answer(1, "second");
+        assertEquals(List.of("first"), heard);
+        assertEquals(1, ledger.keptBack());
+        assertTrue(alarms.get(0).contains("second"));
+    }
+
+    @Test
+    void timeIsUpAfterTheSlackAndNotBefore() {
+        ledger.open(1, new Moment(100), answer -> { });
+        assertEquals(List.of(), ledger.overdue(new Moment(149)));
+        assertEquals(List.of(1L), ledger.overdue(new Moment(150)));
+        assertThrows(IllegalStateException.class, () -> ledger.open(1, new Moment(200), answer -> { }));
+    }
+}
