Overload no longer collapses: a release costs what can go, timers are withdrawn

Change: held invocations stand in order by function (state.Waiting) and a round looks at the first of each; Gateway.at gives back what withdraws a timer; lines are checked to be UTF-8 on the array.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -101,7 +101,7 @@
     private final TreeMap<Long, Host> hosts = new TreeMap<>();
     private Host[] ring = new Host[0];
     private int hostsAside;
-    private final List<Invocation> held = new ArrayList<>();
+    private final Waiting<Invocation> held = new Waiting<>();
     private final RecentTimes taken = new RecentTimes();
     private final RecentTimes orders = new RecentTimes();
     private final TokenBucket[] customers;
@@ -160,9 +160,9 @@
         inv.chance = random.nextDouble();
         int customer = call.customer();
         inv.overShare = customer < customers.length && !customers[customer].take(now, quota(customer));
-        inv.worthLess = inv.overShare || call.repeat();
+        inv.worth = inv.row.billedValue * (inv.overShare || call.repeat() ? REPEAT_WORTH : 1);
         // Rule 1: one timer for the whole invocation, so that a held or walking one is answered in time too.
-        gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
+        inv.timer = gateway.at(Moment.later(now, inv.deadline.minus(margin)), inv::giveUp);
         place(inv);
         return inv;
     }
@@ -234,7 +234,7 @@
             }
         }
         Span wait = first.plus(served.times((inv.fn.held + 1) / Math.max(1, lanes)));
-        return lanes > 0 && wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd());
+        return lanes > 0 && wait.isShorterThan(load) && now.plus(wait).isBefore(inv.holdEnd);
     }
 
     /** The design's walk: from the function's home, over the ids by a hash, the same from all gateways. */
@@ -285,7 +285,6 @@
         if (!inv.held) {
             inv.held = true;
             held.add(inv);
-            inv.fn.held++;
         }
         if (!pulsing) {
             pulsing = true;
@@ -304,32 +303,41 @@
         if (held.isEmpty()) {
             return;
         }
-        List<Invocation> waiting = new ArrayList<>(held);
-        waiting.sort(Comparator.comparingDouble(inv -> -inv.value()));
-        held.clear();
-        Set<Long> stuck = new HashSet<>();
-        waiting.forEach(inv -> inv.fn.held = 0);
-        for (Invocation inv : waiting) {
-            if (!inv.held) {
-                continue;
-            }
-            inv.held = false;
-            if (ordering.contains(inv)) {
-                hold(inv);
-            } else if (inv.hopeless()) {
+        // Not even a warm answer would meet the objective or the client timeout, or it was held too long.
+        for (Invocation inv : held.lapsed(gateway.now().plus(served), gateway.now())) {
+            if (!ordering.contains(inv)) {
                 inv.giveUp();
-            } else if (stuck.contains(inv.fn.id)) {
-                hold(inv);
-            } else if (!place(inv) && inv.dispatches.isEmpty()) {
-                stuck.add(inv.fn.id);
             }
         }
+        // The first of each function; what follows it is looked at only where that was not in vain.
+        PriorityQueue<Invocation> next = new PriorityQueue<>(held.order);
+        next.addAll(held.firsts());
+        List<Fn> seen = new ArrayList<>();
+        next.forEach(inv -> seen.add(inv.fn));
+        seen.forEach(fn -> fn.held = 0);
+        while (!next.isEmpty()) {
+            Invocation inv = next.poll();
+            Invocation after = held.after(inv);
+            boolean orders = ordering.contains(inv);
+            boolean placed = !orders && place(inv);
+            // One that went was taken off the number by its going: that number is of those passed over.
+            inv.fn.held++;
+            if (after != null && (placed || orders || !inv.dispatches.isEmpty())) {
+                next.add(after);
+            }
+        }
+        seen.forEach(fn -> fn.held = held.held(fn));
+    }
+
+    private void unhold(Invocation inv) {
+        inv.held = false;
+        held.remove(inv);
     }
 
     private void send(Invocation inv, Host host, boolean warm) {
         Moment now = gateway.now();
         Mark mark = inv.fn.mark(host);
-        inv.held = false;
+        unhold(inv);
         Sent sent = new Sent(inv.dispatches.size(), host, mark, now, warm);
         inv.dispatches.add(sent);
         inv.inFlight++;
@@ -344,7 +352,7 @@
         }
         gateway.dispatch(inv.id, host.id(), inv.deadline);
         Span patience = warm ? SILENT_AFTER : Span.longer(SILENT_AFTER, loadTime(inv).times(JOIN_UNTIL));
-        gateway.at(now.plus(patience), () -> watch(inv, sent));
+        sent.watch = gateway.at(now.plus(patience), () -> watch(inv, sent));
     }
 
     // ---- the guards of the rules ----
@@ -464,7 +472,7 @@
             if (++host.unheard >= (facts.secondCopies() ? 1 : SILENT_PROOF)) {
                 setAside(host);
             } else {
-                gateway.at(gateway.now().plus(SILENT_AFTER), () -> watch(inv, sent));
+                sent.watch = gateway.at(gateway.now().plus(SILENT_AFTER), () -> watch(inv, sent));
             }
         }
         if (!inv.over && host.asideTimes > 0) {
@@ -481,7 +489,6 @@
             if (!place(inv)) {
                 inv.held = false;
                 held.remove(inv);
-                inv.fn.held--;
             }
         } else if (facts.cancels() && inv.row.effect() != Effect.NON_IDEMPOTENT) {
             gateway.cancel(inv.id, sent.number);
@@ -751,6 +758,8 @@
         Invocation(long id, Call call, Moment now) {
             super(id, call, now, function(call.function()));
             this.row = rows[call.triggerType()];
+            this.answerBy = Moment.earlier(deadline, at.plus(row.latencyObjective()));
+            this.holdEnd = at.plus(Span.shorter(row.latencyObjective(), call.left()).times(HOLD_SHARE));
         }
 
         @Override
@@ -761,6 +770,7 @@
                 return;
             }
             sent.outcome = outcome;
+            sent.watch.run();
             inFlight--;
             answered(this, sent, outcome, elapsed, remark);
             if (last) {
@@ -820,26 +830,11 @@
             }
         }
 
-        /** What serving it in time still earns, next to others held. */
-        double value() {
-            return worthLess ? row.billedValue * REPEAT_WORTH : row.billedValue;
-        }
-
-        Moment holdEnd() {
-            return at.plus(Span.shorter(row.latencyObjective(), call.left()).times(HOLD_SHARE));
-        }
-
-        /** Not even a warm answer would meet the latency objective or the client timeout any more. */
-        boolean hopeless() {
-            Moment answered = gateway.now().plus(served);
-            return answered.isAfter(deadline) || answered.isAfter(at.plus(row.latencyObjective()))
-                || orderedAt == null && gateway.now().isAfter(holdEnd());
-        }
-
         /** Nothing is sent for it any more; what is still out is called back where that can be. */
         private void close() {
             over = true;
-            held = false;
+            unhold(this);
+            timer.run();
             for (Sent sent : dispatches) {
                 if (sent.outcome == null && facts.cancels()) {
                     gateway.cancel(id, sent.number);
@@ -851,7 +846,7 @@
         public void started(int number, Span elapsed) {
             // A streamed answer belongs to its client: it is over here, its outcome still to come.
             over = true;
-            held = false;
+            unhold(this);
             dispatches.get(number).host.heard(gateway.now());
         }
 
--- a/src/main/java/flintlead/benchlink/Instance.java
+++ b/src/main/java/flintlead/benchlink/Instance.java
@@ -173,9 +173,11 @@
     }
 
     @Override
-    public void at(Moment when, Runnable then) {
-        timers.put(nextCookie, then);
-        reply.record(0, number, 19).putLong(when.micros()).putLong(nextCookie++);
+    public Runnable at(Moment when, Runnable then) {
+        long cookie = nextCookie++;
+        timers.put(cookie, then);
+        reply.record(0, number, 19).putLong(when.micros()).putLong(cookie);
+        return () -> timers.remove(cookie);
     }
 
     @Override
--- a/src/main/java/flintlead/cli/LoadCommand.java
+++ b/src/main/java/flintlead/cli/LoadCommand.java
@@ -11,7 +11,7 @@
         + " of the gateway's most.")
 final class LoadCommand implements Callable<Integer> {
 
-    @Option(names = "--hosts", defaultValue = "4", description = "Hosts that answer at once.")
+    @Option(names = "--hosts", defaultValue = "16", description = "Hosts that answer at once.")
     private int hosts;
 
     @Option(names = "--connections", defaultValue = "8", description = "Client connections.")
--- a/src/main/java/flintlead/gateway/Core.java
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -276,8 +276,8 @@
     }
 
     @Override
-    public void at(Moment when, Runnable then) {
-        loop.at(when, () -> {
+    public Runnable at(Moment when, Runnable then) {
+        return loop.at(when, () -> {
             if (!closed) {
                 then.run();
             }
--- a/src/main/java/flintlead/loop/Loop.java
+++ b/src/main/java/flintlead/loop/Loop.java
@@ -12,13 +12,17 @@
     /** The time of the event under way, on a monotonic clock that all loops of a process share. */
     Moment now();
 
-    /** Runs on this loop, not before the moment and never within the call. From the loop itself only. */
-    void at(Moment when, Runnable then);
+    /**
+     * Runs on this loop, not before the moment and never within the call. From the loop itself only.
+     *
+     * @return what withdraws it, from the loop itself; of one that has run, nothing happens
+     */
+    Runnable at(Moment when, Runnable then);
 
     /** Runs on this loop as an event of its own, in the order of the calls; from any thread. */
     void execute(Runnable task);
 
-    default void after(Span span, Runnable then) {
-        at(now().plus(span), then);
+    default Runnable after(Span span, Runnable then) {
+        return at(now().plus(span), then);
     }
 }
--- a/src/main/java/flintlead/netty/NettyLoop.java
+++ b/src/main/java/flintlead/netty/NettyLoop.java
@@ -79,15 +79,15 @@
     }
 
     @Override
-    public void at(Moment when, Runnable then) {
+    public Runnable at(Moment when, Runnable then) {
         if (!thread.inEventLoop()) {
-            execute(() -> at(when, then));
-            return;
+            throw new IllegalStateException("timers are set on their loop only");
         }
-        timers.add(when, then);
+        Runnable withdraw = timers.add(when, then);
         if (!inEvent) {
             wake();
         }
+        return withdraw;
     }
 
     @Override
--- a/src/main/java/flintlead/port/Gateway.java
+++ b/src/main/java/flintlead/port/Gateway.java
@@ -40,7 +40,8 @@
 
     void tellAll(byte[] words);
 
-    void at(Moment when, Runnable then);
+    /** Gives back what withdraws it: a timer that no longer matters should not hold what it was for. */
+    Runnable at(Moment when, Runnable then);
 
     void log(String line);
 }
--- a/src/main/java/flintlead/rpc/RpcReader.java
+++ b/src/main/java/flintlead/rpc/RpcReader.java
@@ -8,6 +8,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -31,10 +33,18 @@
 
     /** The line's bytes, checked to be UTF-8; null for a line of white space only. */
     public static byte[] bytes(ByteBuf line) throws RpcException {
-        if (!ByteBufUtil.isText(line, StandardCharsets.UTF_8)) {
-            throw new RpcException(RpcException.PARSE_ERROR, "the line is not valid UTF-8", null);
-        }
         byte[] bytes = ByteBufUtil.getBytes(line);
+        int high = 0;
+        for (byte each : bytes) {
+            high |= each;
+        }
+        if (high < 0) {
+            try {
+                StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes));
+            } catch (CharacterCodingException e) {
+                throw new RpcException(RpcException.PARSE_ERROR, "the line is not valid UTF-8", null);
+            }
+        }
         for (byte each : bytes) {
             if (each != ' ' && each != '\t' && each != '\r') {
                 return bytes;
--- a/src/main/java/flintlead/state/Course.java
+++ b/src/main/java/flintlead/state/Course.java
@@ -18,16 +18,23 @@
     public final List<Sent> dispatches = new ArrayList<>(2);
     /** Dispatches out. */
     public int inFlight;
-    /** Beyond its customer's share; worth less than its billed value for that or another reason. */
+    /** Beyond its customer's share. */
     public boolean overShare;
-    public boolean worthLess;
     public boolean held;
+    /** What serving it in time still earns, next to others held; its place among them. */
+    public double worth;
+    public long heldAs;
+    /** When an answer is wanted at the latest, and until when it is held. */
+    public Moment answerBy;
+    public Moment holdEnd;
     /** Drawn when it was taken; how many hosts along the walk it leaves to others. */
     public double chance;
     public double beyond;
     /** Where an order after a miss was made for it; a host that it may be sent to once more. */
     public Host orderedAt;
     public Host retryable;
+    /** Withdraws its timer. */
+    public Runnable timer;
     /** It has its final answer, or needs none. */
     public boolean over;
 
--- a/src/main/java/flintlead/state/Sent.java
+++ b/src/main/java/flintlead/state/Sent.java
@@ -15,6 +15,8 @@
     /** Whether it still counts as a load under way. */
     public boolean loads;
     public Outcome outcome;
+    /** Withdraws the look at whether its host is silent. */
+    public Runnable watch;
 
     public Sent(int number, Host host, Mark mark, Moment at, boolean warm) {
         this.number = number;
--- a/src/test/java/flintlead/Fleet.java
+++ b/src/test/java/flintlead/Fleet.java
@@ -275,8 +275,10 @@
     }
 
     @Override
-    public void at(Moment when, Runnable then) {
-        timers.add(new Timer(when, timerCount++, then));
+    public Runnable at(Moment when, Runnable then) {
+        Timer timer = new Timer(when, timerCount++, then);
+        timers.add(timer);
+        return () -> timers.remove(timer);
     }
 
     @Override
