--- a/src/main/java/flintlead/standin/Account.java
+++ b/src/main/java/flintlead/standin/Account.java
@@ -24,7 +24,7 @@
         /** Answered with full, draining or miss: it did not run, and the gateway was told so. */
         public boolean provenUnrun;
 
-        Arrival(String host, int start, String gateway, String token, String function, String triggerType, Moment at,
+        public Arrival(String host, int start, String gateway, String token, String function, String triggerType, Moment at,
                 double workMs) {
             this.host = host;
             this.start = start;
--- a/src/main/java/flintlead/state/Course.java
+++ b/src/main/java/flintlead/state/Course.java
@@ -21,7 +21,7 @@
     /** Beyond its customer's share. */
     public boolean overShare;
     public boolean held;
-    /** What serving it in time still earns, next to others held; its place among them. */
+    /** What serving it in time still earns, next to others held; its place among them, 0 while it is not. */
     public double worth;
     public long heldAs;
     /** When an answer is wanted at the latest, and until when it is held. */
--- a/src/main/java/flintlead/state/Waiting.java
+++ b/src/main/java/flintlead/state/Waiting.java
@@ -31,22 +31,25 @@
     }
 
     public void add(T inv) {
-        inv.heldAs = count++;
+        inv.heldAs = ++count;
         byFunction.computeIfAbsent(inv.fn, any -> new TreeSet<>(order)).add(inv);
         byAnswer.add(inv);
         byHold.add(inv);
         inv.fn.held++;
     }
 
+    /** Nothing happens to one that is not held: it has no place, and must not take another's. */
     public void remove(T inv) {
-        TreeSet<T> same = byFunction.get(inv.fn);
-        if (same != null && same.remove(inv)) {
+        if (inv.heldAs > 0) {
+            TreeSet<T> same = byFunction.get(inv.fn);
+            same.remove(inv);
             byAnswer.remove(inv);
             byHold.remove(inv);
             inv.fn.held--;
             if (same.isEmpty()) {
                 byFunction.remove(inv.fn);
             }
+            inv.heldAs = 0;
         }
     }
 
--- a/src/test/java/flintlead/Fleet.java
+++ b/src/test/java/flintlead/Fleet.java
@@ -166,6 +166,19 @@
         control.loaded(order[0], order[1], outcome, Span.ofMillis(600), outcome == Outcome.OK ? 1 : 0);
     }
 
+    /** Forgets what it has heard and sent, so that only the decisions' own memory is left to grow. */
+    void forgetPast(long... hosts) {
+        invs.values().removeIf(taken -> taken.answer != null && taken.outs.stream().allMatch(o -> o.outcome != null));
+        takenAt.clear();
+        okAt.subList(0, Math.max(0, okAt.size() - 100)).clear();
+        sentTo.values().forEach(sent -> sent.subList(0, Math.max(0, sent.size() - 10)).clear());
+        for (long host : hosts) {
+            listed.remove(host);
+            closedAt.remove(host);
+            sentTo.remove(host);
+        }
+    }
+
     /** Lets time pass, fires timers, ends dispatches at their client timeout. */
     void pass(double millis) {
         Moment until = now.plus(Span.ofMillis(millis));
--- /dev/null
+++ b/src/test/java/flintlead/day/DayTest.java
@@ -0,0 +1,46 @@
+package flintlead.day;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Short days of trouble on real sockets; every rule is judged by what went over them. */
+@Timeout(90)
+class DayTest {
+
+    private static final String HEAD = """
+        lasts: 5s
+        gateways: 3
+        hosts: 8
+        zones: 2
+        perSecond: 160
+        rules: {warmAfter: 3s, overloadFor: 1s}
+        """;
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "1 | true  | hang 500ms 2s 0.3; deploy 1s 2s 0.5; burst 1s 1s 0.5; hang-up 2s 1s 0.5; gateway-crash 3s 1s 0.4",
+        "2 | false | fast-errors 500ms 2s 0.3; zone-loss 1s 1s 0.5; flush 2s 1s 0.5; mass-restart 3s 1s 0.5",
+        "3 | true  | reset 500ms 2s 0.5; half-answer 1s 2s 0.3; wrong-id 2s 1s 0.5; silent 2s 1s 0.2; give-up 1s 3s 0.5",
+        "4 | false | ageing 500ms 3s 0.3; pauses 1s 2s 0.5; store-slow 1s 2s 1; scan 1s 3s 0.3; full 2s 1s 0.4",
+    })
+    void theRulesHold(long seed, boolean loads, String troubles) throws Exception {
+        StringBuilder text = new StringBuilder(HEAD).append("workers: {loadWhenAbsent: ").append(loads)
+            .append("}\ntroubles:\n");
+        for (String trouble : troubles.split(";")) {
+            String[] word = trouble.trim().split(" ");
+            text.append("  - {kind: ").append(word[0]).append(", at: ").append(word[1]).append(", for: ").append(word[2])
+                .append(", part: ").append(word[3]).append("}\n");
+        }
+        Result result = new Day(Plan.parse("day", text.toString()), seed).play();
+        assertEquals(List.of(), result.breaches());
+        long asked = result.types().values().stream().mapToLong(type -> type.asked).sum();
+        assertTrue(asked > 400, "it was a day with traffic: " + asked);
+        assertTrue(result.service() > 0.4, "and with service: " + result.service());
+        assertEquals(0, result.gateways().get("kept back by the ledger"));
+    }
+}
