--- a/src/main/java/flintlead/day/Plan.java
+++ b/src/main/java/flintlead/day/Plan.java
@@ -59,6 +59,15 @@
                 each.number("size", 2, 0, 1_000), each.span("length", Span.ofMillis(200), NONE, LONGEST)));
             each.end();
         }
+        int times = top.whole("repeat", 1, 1, 1_000);
+        Span every = top.span("every", NONE, NONE, LONGEST);
+        List<Trouble> once = List.copyOf(troubles);
+        for (int i = 1; i < times; i++) {
+            for (Trouble each : once) {
+                troubles.add(new Trouble(each.kind(), each.at().plus(every.times(i)), each.lasts(), each.part(),
+                    each.size(), each.length()));
+            }
+        }
         Plan plan = new Plan(top.text("name", "day"), top.span("lasts", Span.ofMillis(10_000), NONE, LONGEST),
             top.whole("gateways", 2, 1, 50), top.whole("hosts", 8, 1, 200), top.whole("zones", 2, 1, 16),
             top.whole("cells", 2, 1, 16), top.number("perSecond", 150, 0.1, 100_000),
