--- a/src/main/java/flintlead/cli/DayCommand.java
+++ b/src/main/java/flintlead/cli/DayCommand.java
@@ -45,7 +45,7 @@
         return result.breaches().isEmpty() ? 0 : Commands.RULE_BROKE;
     }
 
-    private static void print(Result result, boolean json) throws IOException {
+    static void print(Result result, boolean json) throws IOException {
         if (json) {
             System.out.println(new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
                 .writeValueAsString(result));
--- a/src/main/java/flintlead/front/ClientConnection.java
+++ b/src/main/java/flintlead/front/ClientConnection.java
@@ -20,7 +20,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,7 +55,7 @@
     private final Map<Id, Pending> calls = new HashMap<>();
     /** Bytes of answers that wait in batches for the rest of their batch. */
     private long inBatches;
-    private final Set<Batch> batches = new HashSet<>();
+    private final Set<Batch> batches = new LinkedHashSet<>();
     private boolean paused;
     private boolean reconsidering;
     private boolean over;
--- a/src/main/java/flintlead/gateway/Core.java
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -26,6 +26,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -70,7 +71,7 @@
     private final Map<Long, String> starts = new HashMap<>();
     /** Hosts that said themselves that they drain, whatever a list that lags says of them. */
     private final Set<Long> saidDraining = new HashSet<>();
-    private final Set<HostLink> leaving = new HashSet<>();
+    private final Set<HostLink> leaving = new LinkedHashSet<>();
     private final Tally tally = new Tally();
     private final String tokenStem;
     private long nextInvocation;
--- /dev/null
+++ b/src/main/java/flintlead/lab/VirtualListening.java
@@ -0,0 +1,45 @@
+package flintlead.lab;
+
+import flintlead.loop.Address;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.loop.Transport;
+import java.util.function.Function;
+
+/** An address that a virtual place listens at. */
+final class VirtualListening implements Transport.Listening {
+
+    private final VirtualPlace place;
+    private final Address address;
+    private final Function<Stream, StreamListener> acceptor;
+    private boolean closed;
+
+    VirtualListening(VirtualPlace place, Address address, Function<Stream, StreamListener> acceptor) {
+        this.place = place;
+        this.address = address;
+        this.acceptor = acceptor;
+    }
+
+    VirtualPlace place() {
+        return place;
+    }
+
+    boolean takes() {
+        return !closed && !place.isClosed();
+    }
+
+    StreamListener accept(Stream stream) {
+        return acceptor.apply(stream);
+    }
+
+    @Override
+    public Address address() {
+        return address;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        place.world().listening.remove(address, this);
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/lab/VirtualPlace.java
@@ -0,0 +1,150 @@
+package flintlead.lab;
+
+import flintlead.lab.VirtualWorld.Kind;
+import flintlead.loop.Address;
+import flintlead.loop.Place;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+/** One place of a {@link VirtualWorld}. */
+final class VirtualPlace implements Place {
+
+    private static final Span CONNECT_TIME = Span.ofMillis(3_000);
+
+    private final VirtualWorld world;
+    private final String name;
+    private final int number;
+    private final Set<VirtualStream> streams = new LinkedHashSet<>();
+    private Moment stillUntil = new Moment(0);
+    private boolean closed;
+
+    VirtualPlace(VirtualWorld world, String name) {
+        this.world = world;
+        this.name = name;
+        this.number = Math.floorMod(name.hashCode(), 32);
+    }
+
+    int number() {
+        return number;
+    }
+
+    int life() {
+        return closed ? -1 : 0;
+    }
+
+    Moment standsStillUntil() {
+        return stillUntil;
+    }
+
+    void standStill(Moment until) {
+        stillUntil = Moment.later(stillUntil, until);
+    }
+
+    VirtualWorld world() {
+        return world;
+    }
+
+    @Override
+    public Moment now() {
+        return world.clock();
+    }
+
+    @Override
+    public Runnable at(Moment when, Runnable then) {
+        return world.set(when, Kind.TIMER, this, then);
+    }
+
+    /** From outside or from another place at once, as if its thread took it up in no time; else as the next event. */
+    @Override
+    public void execute(Runnable task) {
+        if (closed) {
+            return;
+        }
+        if (world.running() != this && !now().isBefore(stillUntil)) {
+            world.within(this, task);
+        } else {
+            world.set(now(), Kind.POST, this, task);
+        }
+    }
+
+    @Override
+    public Stream connect(Address to, StreamListener listener) {
+        VirtualStream here = new VirtualStream(this, listener);
+        streams.add(here);
+        Span way = way();
+        VirtualListening there = world.listening.get(to);
+        if (there == null || !there.takes()) {
+            world.set(now().plus(way).plus(way), Kind.BYTES, this, () -> here.end("no connection to " + to + ": refused"));
+            return here;
+        }
+        VirtualPlace other = there.place();
+        VirtualStream peer = new VirtualStream(other, null);
+        here.joined(peer);
+        peer.joined(here);
+        // From now on: a process that dies before it accepts refuses, as its kernel does.
+        other.streams.add(peer);
+        world.set(now().plus(way), Kind.BYTES, other, () -> {
+            if (here.isOver()) {
+                return;
+            }
+            if (!there.takes()) {
+                other.streams.remove(peer);
+                world.set(now().plus(way), Kind.BYTES, this, () -> here.end("no connection to " + to + ": refused"));
+                return;
+            }
+            peer.listener(there.accept(peer));
+            peer.open();
+            world.set(now().plus(way), Kind.BYTES, this, here::open);
+        });
+        world.set(now().plus(CONNECT_TIME), Kind.TIMER, this, () -> {
+            if (!here.isOpen()) {
+                here.end("no connection to " + to + " in time");
+            }
+        });
+        return here;
+    }
+
+    Span way() {
+        return world.network.latency().plus(world.network.jitter().times(world.random.nextDouble()));
+    }
+
+    @Override
+    public Listening listen(Address at, Function<Stream, StreamListener> acceptor) throws IOException {
+        Address where = at instanceof Address.Tcp tcp && tcp.port() == 0 ? new Address.Tcp(tcp.host(), world.nextPort++) : at;
+        VirtualListening before = world.listening.get(where);
+        if (before != null && before.takes()) {
+            throw new IOException("cannot listen at " + where + ": in use");
+        }
+        VirtualListening listening = new VirtualListening(this, where, acceptor);
+        world.listening.put(where, listening);
+        return listening;
+    }
+
+    void gone(VirtualStream stream) {
+        streams.remove(stream);
+    }
+
+    boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    public void close() {
+        List<VirtualStream> open = new ArrayList<>(streams);
+        open.forEach(VirtualStream::abort);
+        closed = true;
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/lab/VirtualStream.java
@@ -0,0 +1,194 @@
+package flintlead.lab;
+
+import flintlead.lab.VirtualWorld.Kind;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.time.Moment;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** One end of a virtual connection: bytes arrive in order, after the network's time, as far as the window lets them. */
+final class VirtualStream implements Stream {
+
+    private final VirtualPlace place;
+    private StreamListener listener;
+    private VirtualStream peer;
+    private boolean open;
+    private boolean over;
+    private boolean reading = true;
+    private boolean closing;
+    /** Written and beyond the window; on their way or unread at the other end. */
+    private final Deque<byte[]> backlog = new ArrayDeque<>();
+    private long backlogBytes;
+    private long onTheWay;
+    private boolean behind;
+    /** Arrived and not read. */
+    private final Deque<byte[]> arrived = new ArrayDeque<>();
+    private Moment lastArrival = new Moment(0);
+
+    VirtualStream(VirtualPlace place, StreamListener listener) {
+        this.place = place;
+        this.listener = listener;
+    }
+
+    void listener(StreamListener accepted) {
+        listener = accepted;
+    }
+
+    void joined(VirtualStream other) {
+        peer = other;
+    }
+
+    boolean isOpen() {
+        return open;
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    void open() {
+        if (!over) {
+            open = true;
+            listener.opened();
+        }
+    }
+
+    void end(String why) {
+        if (!over) {
+            over = true;
+            place.gone(this);
+            backlog.clear();
+            arrived.clear();
+            if (listener != null) {
+                listener.closed(why);
+            }
+        }
+    }
+
+    @Override
+    public void write(ByteBuf bytes) {
+        byte[] copy = new byte[bytes.readableBytes()];
+        bytes.readBytes(copy);
+        bytes.release();
+        if (over || !open || closing || copy.length == 0) {
+            return;
+        }
+        backlog.add(copy);
+        backlogBytes += copy.length;
+        push();
+    }
+
+    private void push() {
+        while (!backlog.isEmpty() && onTheWay < place.world().network.window()) {
+            byte[] next = backlog.poll();
+            backlogBytes -= next.length;
+            onTheWay += next.length;
+            VirtualStream to = peer;
+            Moment at = Moment.later(lastArrival, place.now().plus(place.way()));
+            lastArrival = at;
+            place.world().set(at, Kind.BYTES, to.place, () -> to.arrive(next));
+        }
+        behind |= !backlog.isEmpty();
+        if (behind && backlog.isEmpty()) {
+            behind = false;
+            place.at(place.now(), () -> {
+                if (!over) {
+                    listener.drained();
+                }
+            });
+        }
+        if (closing && backlog.isEmpty()) {
+            finish();
+        }
+    }
+
+    private void arrive(byte[] bytes) {
+        if (over) {
+            return;
+        }
+        arrived.add(bytes);
+        read();
+    }
+
+    private void read() {
+        while (reading && !arrived.isEmpty() && !over) {
+            byte[] next = arrived.poll();
+            VirtualStream from = peer;
+            place.world().set(place.now().plus(place.way()), Kind.BYTES, from.place, () -> from.taken(next.length));
+            place.world().saw(next.length, next[0]);
+            listener.received(Unpooled.wrappedBuffer(next));
+        }
+    }
+
+    private void taken(int bytes) {
+        onTheWay -= bytes;
+        if (!over) {
+            push();
+        }
+    }
+
+    @Override
+    public long unsent() {
+        return backlogBytes;
+    }
+
+    @Override
+    public void reading(boolean on) {
+        reading = on;
+        if (on && !arrived.isEmpty()) {
+            place.at(place.now(), this::read);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (!over && !closing) {
+            closing = true;
+            push();
+        }
+    }
+
+    /** Ends this end now, and the other once all that is on its way has arrived. */
+    private void finish() {
+        if (over) {
+            return;
+        }
+        over = true;
+        place.gone(this);
+        tellPeer("the other end closed the connection");
+        place.at(place.now(), () -> listener.closed("closed"));
+    }
+
+    private void tellPeer(String why) {
+        VirtualStream to = peer;
+        if (to != null) {
+            Moment at = Moment.later(lastArrival, place.now().plus(place.way()));
+            place.world().set(at, Kind.BYTES, to.place, () -> to.end(why));
+        }
+    }
+
+    @Override
+    public void abort() {
+        if (!over) {
+            over = true;
+            place.gone(this);
+            backlog.clear();
+            tellPeer("connection reset");
+            place.at(place.now(), () -> {
+                if (listener != null) {
+                    listener.closed("aborted");
+                }
+            });
+        }
+    }
+
+    @Override
+    public ByteBufAllocator alloc() {
+        return UnpooledByteBufAllocator.DEFAULT;
+    }
+}
--- a/src/main/java/flintlead/netty/NettyLoop.java
+++ b/src/main/java/flintlead/netty/NettyLoop.java
@@ -1,11 +1,10 @@
 package flintlead.netty;
 
 import flintlead.loop.Address;
-import flintlead.loop.Loop;
+import flintlead.loop.Place;
 import flintlead.loop.Stream;
 import flintlead.loop.StreamListener;
 import flintlead.loop.Timers;
-import flintlead.loop.Transport;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import io.netty.bootstrap.Bootstrap;
@@ -38,13 +37,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One Netty event loop thread as {@link Loop} and {@link Transport}.
+ * One Netty event loop thread as {@link Place}.
  *
  * <p>Order within a wake-up: what other threads posted (host lists above all: rule 3), then due timers, then the bytes
  * that woke it. After a stall the bytes go before the timers: answers that lay in the kernel while this thread
  * stood still must not find their hosts called silent by timers that are late for the same reason.
  */
-public final class NettyLoop implements Loop, Transport, AutoCloseable {
+public final class NettyLoop implements Place {
 
     /** Timers later than this show that the thread itself stood still. */
     private static final Span STALL = Span.ofMillis(20);
--- a/src/main/java/flintlead/standin/StandIn.java
+++ b/src/main/java/flintlead/standin/StandIn.java
@@ -21,8 +21,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -98,7 +98,7 @@
     private final ContinuousDistribution.Sampler work;
     private final RpcReader reader = new RpcReader();
     public final Troubles troubles = new Troubles();
-    private final Set<Connection> connections = new HashSet<>();
+    private final Set<Connection> connections = new LinkedHashSet<>();
     private final Map<String, Copies> functions = new LinkedHashMap<>();
     private Transport.Listening listening;
     private Address address;
@@ -106,7 +106,7 @@
     private Moment startedAt;
     private boolean cold;
     private boolean up;
-    private boolean fallen;
+    private volatile boolean fallen;
     private boolean draining;
     private int working;
     private int waiting;
--- /dev/null
+++ b/src/test/java/flintlead/lab/LabTest.java
@@ -0,0 +1,113 @@
+package flintlead.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.day.Day;
+import flintlead.day.Plan;
+import flintlead.day.Result;
+import flintlead.day.Trouble;
+import flintlead.time.Span;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The same day is the same run; what goes wrong is found and cut down; virtual days are like real ones. */
+@Timeout(120)
+class LabTest {
+
+    private static final String SMALL = """
+        lasts: 4s
+        gateways: 2
+        hosts: 6
+        zones: 2
+        perSecond: 80
+        functions: 12
+        rules: {warmAfter: 3s, overloadFor: 1s}
+        """;
+
+    private static Plan plan(String more) throws Exception {
+        return Plan.parse("day", SMALL + more);
+    }
+
+    private static final String ROUGH = """
+        troubles:
+          - {kind: hang, at: 500ms, for: 1s, part: 0.3}
+          - {kind: deploy, at: 1s, for: 2s, part: 0.5}
+          - {kind: gateway-crash, at: 2s, part: 0.5, length: 300ms}
+          - {kind: gateway-stall, at: 3s, part: 0.5, length: 300ms}
+          - {kind: hang-up, at: 2500ms, part: 0.5}
+        """;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "registry: etcd\n", "registry: consul\n"})
+    void aRunIsAFunctionOfFileAndSeed(String registry) throws Exception {
+        Lab.Run first = Lab.run(plan(registry + ROUGH), 7, Network.USUAL);
+        Lab.Run second = Lab.run(plan(registry + ROUGH), 7, Network.USUAL);
+        assertNull(first.wrong());
+        assertTrue(first.events() > 5_000, first.events() + " events");
+        assertEquals(first.sum(), second.sum());
+        assertEquals(first.events(), second.events());
+        assertNotEquals(first.sum(), Lab.run(plan(registry + ROUGH), 8, Network.USUAL).sum());
+    }
+
+    /** Days by chance, the same in every run of the tests: no rule broken, nothing thrown, nothing left over. */
+    @Test
+    void daysByChanceGoWell() throws Exception {
+        Swarm.Search search = new Swarm(plan(""), Network.USUAL).search(100_000, 60, Span.ofMillis(100_000), 4);
+        assertNull(search.found(), () -> search.found().wrong() + "\n" + Swarm.file(search.found()));
+        assertEquals(60, search.days());
+        Swarm.Search ill = new Swarm(plan("registry: etcd\n"), Network.USUAL).search(200_000, 30, Span.ofMillis(100_000), 4);
+        assertNull(ill.found(), () -> ill.found().wrong() + "\n" + Swarm.file(ill.found()));
+    }
+
+    /** Found by the search: a host that stood still judged a repeat by a memory that had gone on without it. */
+    @Test
+    void aPausedHostKnowsARepeatByWhenItCame() throws Exception {
+        assertNull(Lab.run(plan("""
+            troubles:
+              - {kind: full, at: 3005252us, for: 394852us, part: 0.3023706806723782}
+              - {kind: half-answer, at: 1733280us, for: 905136us, part: 0.3664513858300231, size: 0.364350416772827}
+              - {kind: half-answer, at: 1044794us, for: 545402us, part: 0.18912388765803534, size: 0.7799132663340244}
+              - {kind: pauses, at: 3536688us, for: 945516us, part: 0.620543900085216, length: 816000us}
+            """), 2352, Network.USUAL).wrong());
+    }
+
+    @Test
+    void whatIsFoundIsCutDownToWhatItNeeds() throws Exception {
+        Set<Trouble.Kind> needed = Set.of(Trouble.Kind.HANG, Trouble.Kind.FLUSH);
+        Swarm swarm = new Swarm(plan(""), (plan, seed) -> {
+            Set<Trouble.Kind> kinds = plan.troubles().stream().map(Trouble::kind).collect(Collectors.toSet());
+            return new Lab.Run(new Result("", seed, Map.of(), 1, 0, 0, 0, 0, Map.of(), List.of()), 1, 0,
+                kinds.containsAll(needed) ? "planted" : null);
+        });
+        Swarm.Found found = swarm.search(1, 100_000, Span.ofMillis(60_000), 2).found();
+        assertNotNull(found);
+        assertEquals(2, found.plan().troubles().size());
+        assertEquals(needed, found.plan().troubles().stream().map(Trouble::kind).collect(Collectors.toSet()));
+        Plan again = Plan.parse("again", Swarm.file(found));
+        assertEquals(found.plan().troubles().toString(), again.troubles().toString());
+        assertEquals(found.plan().perSecond(), again.perSecond());
+    }
+
+    /** The emulator is held to what real sockets do: the same day, within bounds that only a broken model would pass. */
+    @Test
+    void aVirtualDayIsLikeARealOne() throws Exception {
+        Result virtual = Lab.run(plan(ROUGH), 3, Network.USUAL).result();
+        Result real = new Day(plan(ROUGH), 3).play();
+        assertEquals(List.of(), real.breaches());
+        assertEquals(real.service(), virtual.service(), 0.12);
+        assertTrue(Math.abs(real.dispatches() - virtual.dispatches()) < 0.3 * real.dispatches(),
+            real.dispatches() + " and " + virtual.dispatches());
+        virtual.types().forEach((name, type) -> assertTrue(Math.abs(type.p50Ms - real.types().get(name).p50Ms) <= 25,
+            name + ": " + type.p50Ms + " and " + real.types().get(name).p50Ms));
+    }
+}
