A host silent on one of two open connections is tested to be waited for

Cause: leaving an address without a word of the host on another failed no test, as the only test had one connection open. Change: a test with two. Measured: it passes, and fails with that check taken out (the invocation arrives twice).

--- a/src/test/java/flintlead/gateway/AddressesTest.java
+++ b/src/test/java/flintlead/gateway/AddressesTest.java
@@ -175,6 +175,25 @@
         assertEquals(0, gateway.counts().join().outcomes().get(Outcome.STRAYED));
     }
 
+    /** Silent on one connection with another open beside it: as long as nothing is heard there, the host is what is silent. */
+    @Test
+    void aHostThatStandsStillWithTwoConnectionsIsWaitedForToo() throws Exception {
+        ScriptedHost host = new ScriptedHost("h", world);
+        host.echoes = true;
+        ScriptedHost.Way[] ways = ways(host, Face.GOOD, Face.GOOD, Face.REFUSES);
+        Flintlead gateway = gateway(host, ways);
+        of(gateway.invoke(Ask.of("f", "check")));
+        ways[0].face = Face.RESETS;
+        assertEquals(Answer.Kind.SUCCEEDED, of(gateway.invoke(Ask.of("f", "check"))).kind());
+        ways[0].face = Face.GOOD;
+        Awaitility.await().until(() -> of(gateway.invoke(Ask.of("f", "check"))) != null && host.open() >= 2);
+        long before = gateway.counts().join().outcomes().get(Outcome.STRAYED);
+        world.execute(() -> LockSupport.parkNanos(600_000_000L));
+        assertEquals(Answer.Kind.SUCCEEDED, of(gateway.invoke(Ask.of("f", "check").token("t"))).kind());
+        assertEquals(1, host.ran.stream().filter("t"::equals).count());
+        assertEquals(before, gateway.counts().join().outcomes().get(Outcome.STRAYED));
+    }
+
     /** So is a gateway that stands still itself: it has not listened, so nobody was silent. */
     @Test
     void aGatewayThatStandsStillBlamesNobody() throws Exception {
