Two assertions that could not fail, or hid what they said, are gone or plain

Cause: on reading the change again: a null looked up in a map that never holds it, and a comparison folded into a choice. Change: the first is removed, the second says what it asks.

--- a/src/test/java/flintlead/gateway/GatewayContract.java
+++ b/src/test/java/flintlead/gateway/GatewayContract.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -372,8 +371,7 @@
         assertEquals(Math.min(5, reached.size()), succeeded);
         Stopped how = stopped.get(10, TimeUnit.SECONDS);
         assertTrue(how.open() > 0 && how.givenUp() <= how.open());
-        assertEquals(Reply.Kind.THROTTLED, gateway.invoke(Ask.of("f", "check")).get().kind() == Answer.Kind.THROTTLED
-            ? Reply.Kind.THROTTLED : Reply.Kind.LOST, "after the stop too");
+        assertEquals(Answer.Kind.THROTTLED, gateway.invoke(Ask.of("f", "check")).get().kind(), "after the stop too");
     }
 
     @Test
@@ -387,7 +385,6 @@
         a.ageMs = 100;
         a.listen();
         Awaitility.await().until(() -> of(invoke(Ask.of("f", "check"))).kind() == Reply.Kind.SUCCEEDED);
-        assertNull(gateway.counts().join().outcomes().get(null));
         // Cold now, it gets little: a burst that a warm host would take whole is held, and part of it throttled.
         int throttled = 0;
         List<CompletableFuture<Reply>> burst = new ArrayList<>();
