--- a/src/main/java/flintlead/cli/LabCommand.java
+++ b/src/main/java/flintlead/cli/LabCommand.java
@@ -1,15 +1,23 @@
 package flintlead.cli;
 
+import flintlead.day.Chronicle;
 import flintlead.day.Plan;
 import flintlead.lab.Lab;
-import flintlead.lab.Network;
 import flintlead.lab.Swarm;
+import flintlead.lab.experiment.Experiment;
+import flintlead.lab.experiment.Factor;
+import flintlead.lab.report.Columns;
+import flintlead.lab.report.Pages;
 import flintlead.time.Span;
 import flintlead.yaml.Section;
 import flintlead.yaml.YamlException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -18,9 +26,11 @@
 
 /** Days in virtual time. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Days in virtual time: the same every time.",
-    subcommands = {LabCommand.Replay.class, LabCommand.Search.class})
+    subcommands = {LabCommand.Replay.class, LabCommand.Search.class, LabCommand.Compare.class, LabCommand.Sweep.class})
 final class LabCommand implements Callable<Integer> {
 
+    private static final int CHRONICLE_MOST = 5_000_000;
+
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
@@ -44,11 +54,18 @@
         @Option(names = "--json", description = "Print the result as JSON.")
         private boolean json;
 
+        @Option(names = "--report", description = "Write a page with plots there, as day.html.")
+        private Path page;
+
+        @Option(names = "--records", description = "Write all invocations there, as day.arrow (Arrow IPC file).")
+        private Path records;
+
         @Override
         public Integer call() throws IOException, YamlException {
             Plan plan = DayCommand.plan(file);
             long begun = System.nanoTime();
-            Lab.Run run = Lab.run(plan, seed, Network.USUAL);
+            Chronicle chronicle = page == null && records == null ? null : new Chronicle(CHRONICLE_MOST);
+            Lab.Run run = Lab.run(plan, seed, chronicle);
             double took = (System.nanoTime() - begun) / 1e9;
             if (run.result() != null) {
                 DayCommand.print(run.result(), json);
@@ -58,6 +75,12 @@
             if (run.wrong() != null) {
                 System.err.println("wrong: " + run.wrong());
             }
+            if (page != null && run.result() != null) {
+                new Pages().day(page, plan, seed, run, chronicle);
+            }
+            if (records != null) {
+                Columns.write(records, chronicle);
+            }
             return run.wrong() == null ? 0 : Commands.RULE_BROKE;
         }
     }
@@ -87,7 +110,7 @@
                 System.err.println("--time " + time + ": write a number with its unit, as 60s or 5m");
                 return Commands.USAGE;
             }
-            Swarm.Search search = new Swarm(DayCommand.plan(file), Network.USUAL).search(seed, Integer.MAX_VALUE, most,
+            Swarm.Search search = new Swarm(DayCommand.plan(file)).search(seed, Integer.MAX_VALUE, most,
                 Runtime.getRuntime().availableProcessors());
             System.out.printf("%d days, %d events%n", search.days(), search.events());
             if (search.found() == null) {
@@ -100,4 +123,104 @@
             return Commands.RULE_BROKE;
         }
     }
+
+    /** Plays arms and tells of them. */
+    private static int experiment(String title, Map<String, Plan> arms, long seed, int seeds, Path page)
+        throws IOException, InterruptedException {
+        List<Experiment.Arm> done = new Experiment(seed, seeds, Runtime.getRuntime().availableProcessors()).play(arms);
+        Experiment.Arm first = done.get(0);
+        boolean wrong = false;
+        for (Experiment.Arm arm : done) {
+            if (arm != first) {
+                System.out.printf("%s against %s, %d days, simulated%n%-14s %10s %10s %11s  %-22s %-22s %5s %5s%n", arm.name(),
+                    first.name(), seeds, "outcome", "first", "second", "difference", "95% (t)", "95% (bootstrap)", "above",
+                    "below");
+                Experiment.compare(first, arm).forEach((name, paired) -> System.out.printf(Locale.ROOT,
+                    "%-14s %10.4f %10.4f %+11.4f%s %-22s %-22s %5d %5d%n", name, paired.first(), paired.second(),
+                    paired.difference(), paired.isClear() ? "*" : " ",
+                    String.format(Locale.ROOT, "%+.4f to %+.4f", paired.low(), paired.high()),
+                    String.format(Locale.ROOT, "%+.4f to %+.4f", paired.bootLow(), paired.bootHigh()), paired.better(),
+                    paired.worse()));
+            }
+            for (String each : arm.wrong()) {
+                System.out.println("wrong in " + arm.name() + ", " + each);
+                wrong = true;
+            }
+            System.err.printf("%s: %.1f s of CPU%n", arm.name(), arm.secondsOfCpu());
+        }
+        if (page != null) {
+            new Pages().experiment(page, title, done, seeds);
+        }
+        return wrong ? Commands.RULE_BROKE : 0;
+    }
+
+    /** Two plans on the same seeds. */
+    @Command(name = "compare", mixinStandardHelpOptions = true, description = "Plays two days' files with the same seeds and"
+        + " tells the differences with intervals; exit 3 where a rule broke on one of the days.")
+    static final class Compare implements Callable<Integer> {
+
+        @Parameters(index = "0", description = "The first day's file, or the name of a day.")
+        private String first;
+
+        @Parameters(index = "1", description = "The second.")
+        private String second;
+
+        @Option(names = "--seeds", defaultValue = "20", description = "How many days each.")
+        private int seeds;
+
+        @Option(names = "--seed", defaultValue = "1", description = "The first seed.")
+        private long seed;
+
+        @Option(names = "--report", description = "Write a page with plots there.")
+        private Path page;
+
+        @Override
+        public Integer call() throws IOException, YamlException, InterruptedException {
+            if (seeds < 2) {
+                System.err.println("--seeds " + seeds + ": at least 2 days are needed for an interval");
+                return Commands.USAGE;
+            }
+            Map<String, Plan> arms = new LinkedHashMap<>();
+            arms.put(first, DayCommand.plan(first));
+            arms.put(second.equals(first) ? second + " again" : second, DayCommand.plan(second));
+            return experiment(first + " and " + second, arms, seed, seeds, page);
+        }
+    }
+
+    /** One plan, one factor. */
+    @Command(name = "sweep", mixinStandardHelpOptions = true, description = "Plays a day's file with a factor at several"
+        + " values, on the same seeds, each against the first; exit 3 where a rule broke on one of the days.")
+    static final class Sweep implements Callable<Integer> {
+
+        @Parameters(index = "0", description = "A day's file, or the name of a day.")
+        private String file;
+
+        @Parameters(index = "1", description = "hosts=8,16,32, gateways=1,16,300, load=0.5,1,1.5 or policy=control,random.")
+        private String factor;
+
+        @Option(names = "--seeds", defaultValue = "10", description = "How many days each.")
+        private int seeds;
+
+        @Option(names = "--seed", defaultValue = "1", description = "The first seed.")
+        private long seed;
+
+        @Option(names = "--report", description = "Write a page with plots there.")
+        private Path page;
+
+        @Override
+        public Integer call() throws IOException, YamlException, InterruptedException {
+            if (seeds < 2) {
+                System.err.println("--seeds " + seeds + ": at least 2 days are needed for an interval");
+                return Commands.USAGE;
+            }
+            Map<String, Plan> arms;
+            try {
+                arms = Factor.parse(factor).arms(DayCommand.plan(file));
+            } catch (IllegalArgumentException e) {
+                System.err.println(e.getMessage());
+                return Commands.USAGE;
+            }
+            return experiment(file + ", " + factor, arms, seed, seeds, page);
+        }
+    }
 }
--- a/src/main/java/flintlead/cli/LoadCommand.java
+++ b/src/main/java/flintlead/cli/LoadCommand.java
@@ -1,6 +1,10 @@
 package flintlead.cli;
 
+import flintlead.arrivals.Traffic;
 import flintlead.load.Bout;
+import flintlead.load.Builds;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -11,6 +15,8 @@
         + " of the gateway's most.")
 final class LoadCommand implements Callable<Integer> {
 
+    private static final double BUILDS_RATE = 5_000;
+
     @Option(names = "--hosts", defaultValue = "16", description = "Hosts that answer at once.")
     private int hosts;
 
@@ -36,9 +42,33 @@
         description = "Also: so many invocations in flight at hosts that answer after a second.")
     private int atOnce;
 
+    @Option(names = "--process", defaultValue = "poisson", description = "poisson, bursts, diurnal or trace, for the open loop.")
+    private Traffic.Process process;
+
+    @Option(names = "--trace", description = "A file of arrivals: milliseconds[,function[,work]] a line.")
+    private Path trace;
+
+    @Option(names = "--by-second", description = "Write counts and percentiles of each second there, as CSV.")
+    private Path bySecond;
+
+    @Option(names = "--builds", arity = "2", description = "Compare two builds instead: their jars, each beside its lib folder.")
+    private List<Path> builds;
+
+    @Option(names = "--rounds", defaultValue = "5", description = "Rounds of a comparison of builds.")
+    private int rounds;
+
     @Override
     public Integer call() throws Exception {
-        return new Bout(hosts, connections, out, size, functions, seconds, rate, atOnce).run(System.out) ? 0
-            : Commands.FAILED;
+        if (process == Traffic.Process.TRACE && trace == null) {
+            System.err.println("--process trace needs --trace FILE");
+            return Commands.USAGE;
+        }
+        Traffic traffic = new Traffic(trace != null ? Traffic.Process.TRACE : process, Traffic.USUAL.factor(),
+            Traffic.USUAL.calm(), Traffic.USUAL.burst(), Traffic.USUAL.swing(), trace);
+        boolean whole = builds != null
+            ? new Builds(builds.get(0), builds.get(1), hosts, connections, size, functions, seconds, rate > 0 ? rate : BUILDS_RATE,
+                traffic, rounds).run(System.out)
+            : new Bout(hosts, connections, out, size, functions, seconds, rate, atOnce, traffic, bySecond).run(System.out);
+        return whole ? 0 : Commands.FAILED;
     }
 }
--- a/src/main/java/flintlead/day/Plan.java
+++ b/src/main/java/flintlead/day/Plan.java
@@ -1,5 +1,7 @@
 package flintlead.day;
 
+import flintlead.arrivals.Traffic;
+import flintlead.arrivals.Work;
 import flintlead.gateway.Terms;
 import flintlead.port.TriggerType.Effect;
 import flintlead.registry.RegistryTerms;
@@ -26,18 +28,57 @@
  * @param listLag how late the host list tells of a change
  * @param head the text of its file without name and troubles, so that it can be written again
  * @param registry how gateways follow the host list; null for a list that is pushed to them
+ * @param machines the kinds of machines that the hosts are, with their shares; never empty
+ * @param halls in which gateways and hosts stand; each has its own network
+ * @param warmUp the beginning, which counts in no outcome
+ * @param policy who decides in the gateways; "control" is the program itself
  */
 public record Plan(String name, Span lasts, int gateways, int hosts, int zones, int cells, double perSecond,
                    int functions, int connections, int tries, Span listLag, Make make, int storeAtOnce, Terms terms,
-                   List<Trouble> troubles, RegistryTerms.Protocol registry, String head) {
+                   List<Trouble> troubles, RegistryTerms.Protocol registry, String head, List<Machine> machines,
+                   int halls, Network network, Traffic traffic, Work work, Span warmUp, String policy) {
 
+    /** A kind of machine. */
+    public record Machine(String kind, double share, Make make) { }
+
+    public static final String CONTROL = "control";
+
+    /** Steps of this part of a whole fall evenly on it, however many there are. */
+    private static final double GOLDEN = 0.6180339887498949;
     private static final Span NONE = Span.ZERO;
     private static final Span LONGEST = Span.ofMillis(3_600_000);
 
     /** The same day with other troubles. */
     public Plan with(List<Trouble> others) {
         return new Plan(name, lasts, gateways, hosts, zones, cells, perSecond, functions, connections, tries, listLag, make,
-            storeAtOnce, terms, List.copyOf(others), registry, head);
+            storeAtOnce, terms, List.copyOf(others), registry, head, machines, halls, network, traffic, work, warmUp,
+            policy);
+    }
+
+    /** The same day of another size. */
+    public Plan sized(int gatewaysNow, int hostsNow, double perSecondNow) {
+        return new Plan(name, lasts, gatewaysNow, hostsNow, zones, cells, perSecondNow, functions, connections, tries,
+            listLag, make, storeAtOnce, terms, troubles, registry, head, machines, halls, network, traffic, work, warmUp,
+            policy);
+    }
+
+    /** The same day with another's decisions. */
+    public Plan decidedBy(String other) {
+        return new Plan(name, lasts, gateways, hosts, zones, cells, perSecond, functions, connections, tries, listLag, make,
+            storeAtOnce, terms, troubles, registry, head, machines, halls, network, traffic, work, warmUp, other);
+    }
+
+    /** The machine that the host of that number is: kinds are spread evenly over the numbers, by their shares. */
+    public Make machine(int host) {
+        double all = machines.stream().mapToDouble(Machine::share).sum();
+        double at = host * GOLDEN % 1 * all;
+        for (Machine each : machines) {
+            at -= each.share();
+            if (at < 0) {
+                return each.make();
+            }
+        }
+        return machines.get(machines.size() - 1).make();
     }
 
     public static Plan read(Path file) throws IOException, YamlException {
@@ -79,6 +120,17 @@
             terms.rules().warmAfter(), terms.rules().fallMultiple(), terms.rules().overloadFor(), tokened,
             host.number("workMs", 20, 0.01, 1e6));
         host.end();
+        List<Machine> machines = new ArrayList<>();
+        for (Section each : top.list("machines")) {
+            machines.add(new Machine(each.text("kind", "kind-" + machines.size()), each.number("share", 1, 0.001, 1_000),
+                make.machine(each.whole("cores", make.cores(), 1, 1_000), each.number("speed", make.speed(), 0.01, 100),
+                    each.number("memoryMb", make.memoryMb(), 1, 1e9), each.whole("queue", make.queue(), 1, 100_000),
+                    each.whole("loadsAtOnce", make.loadsAtOnce(), 1, 1_000))));
+            each.end();
+        }
+        if (machines.isEmpty()) {
+            machines.add(new Machine("usual", 1, make));
+        }
         List<Trouble> troubles = new ArrayList<>();
         for (Section each : top.list("troubles")) {
             troubles.add(new Trouble(each.oneOf("kind", Trouble.Kind.BURST), each.span("at", NONE, NONE, LONGEST),
@@ -100,7 +152,10 @@
             top.whole("cells", 2, 1, 16), top.number("perSecond", 150, 0.1, 100_000),
             top.whole("functions", 24, 1, 100_000), top.whole("connections", 4, 1, 256), top.whole("tries", 1, 0, 10),
             top.span("listLag", Span.ofMillis(200), NONE, LONGEST), make, top.whole("storeAtOnce", 6, 1, 10_000),
-            terms, troubles, top.has("registry") ? top.oneOf("registry", RegistryTerms.Protocol.ETCD) : null, head(text));
+            terms, troubles, top.has("registry") ? top.oneOf("registry", RegistryTerms.Protocol.ETCD) : null, head(text),
+            List.copyOf(machines), top.whole("halls", 1, 1, 16), Network.read(top.section("network")),
+            Traffic.read(top.section("arrivals")), Work.read(top.section("work"), make.usualWork()),
+            top.span("warmUp", NONE, NONE, LONGEST), top.text("policy", CONTROL));
         top.end();
         faults.throwIfAny();
         return plan;
--- a/src/main/java/flintlead/day/World.java
+++ b/src/main/java/flintlead/day/World.java
@@ -12,6 +12,26 @@
     /** A place of its own, as a machine or process would be. */
     Place place(String name);
 
+    /** The same in a hall, where the world has halls. */
+    default Place place(String name, int hall) {
+        return place(name);
+    }
+
+    /** A place of a machine of its own in a hall, where the world can tell machines apart; else the shared one. */
+    default Place beside(Place shared, String name, int hall) {
+        return shared;
+    }
+
+    /** What can be done to the network; null where it is the kernel's. */
+    default Net net() {
+        return null;
+    }
+
+    /** A disk that outlives its processes; null for none. */
+    default ScriptedDisk disk(String name) {
+        return null;
+    }
+
     /** The clock that all places share. */
     Moment clock();
 
--- a/src/main/java/flintlead/gateway/Core.java
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -1,6 +1,5 @@
 package flintlead.gateway;
 
-import flintlead.Control;
 import flintlead.admission.Intake;
 import flintlead.dial.DialBudget;
 import flintlead.ids.FunctionNames;
@@ -13,6 +12,7 @@
 import flintlead.loop.Loop;
 import flintlead.loop.Transport;
 import flintlead.port.Call;
+import flintlead.port.Decider;
 import flintlead.port.Dispatcher;
 import flintlead.port.Gateway;
 import flintlead.port.HostEntry;
@@ -36,7 +36,7 @@
 import org.slf4j.Logger;
 
 /**
- * The gateway on its loop: tells {@link Control} what happens and does what it asks, one event at a time. Nothing here
+ * The gateway on its loop: tells {@link flintlead.Control} what happens and does what it asks, one event at a time. Nothing here
  * decides about an invocation that was taken; the ledger only sees to it that what was decided goes out once.
  */
 final class Core implements Gateway, HostLink.Listener {
@@ -81,7 +81,7 @@
     private Runnable whenEmpty;
 
     Core(Terms terms, Loop loop, Transport transport, Intake.Bounds bounds, LinkBounds linkBounds, long seed,
-         Logger log) {
+         Logger log, Decider decider) {
         this.terms = terms;
         this.loop = loop;
         this.transport = transport;
@@ -92,7 +92,7 @@
         this.intake = new Intake(bounds, new Random(random.nextLong()));
         this.ledger = new Ledger<>(terms.rules().answerSlack(), words -> log.error("ledger: {}", words));
         this.tokenStem = terms.gateway() + "-" + Long.toString(random.nextLong() >>> 1, 36) + "-";
-        this.dispatcher = new Control(this, terms.deployment(), random.nextLong());
+        this.dispatcher = decider.decide(this, terms.deployment(), random.nextLong());
     }
 
     Loop loop() {
@@ -145,7 +145,8 @@
         // Without a mark of the client's the hosts still have to know a repeat that this gateway sends.
         String token = ask.token() == null ? tokenStem + id : ask.token();
         Flight flight = new Flight(id, ask, token, footprint,
-            trigger.effect() == TriggerType.Effect.IDEMPOTENT, deadline, source);
+            trigger.effect() == TriggerType.Effect.IDEMPOTENT,
+            trigger.effect() == TriggerType.Effect.TOKENED ? trigger.window() : Span.ZERO, deadline, source);
         flights.put(id, flight);
         ledger.open(id, deadline, answer -> {
             intake.done(source, ask.bytes());
@@ -322,6 +323,17 @@
         };
         flight.attempts.add(attempt);
         tally.dispatches++;
+        if (attempt.number == 1 && flight.repeatsFor.micros() > 0) {
+            // Past the window the hosts know the token no more: a dispatch that comes late would be a second run.
+            at(flight.attempts.get(0).at.plus(flight.repeatsFor), () -> {
+                // A copy: a connection that breaks may make Control dispatch within this very event.
+                for (Flight.Attempt each : List.copyOf(flight.attempts)) {
+                    if (each.link != null) {
+                        each.link.recall(each);
+                    }
+                }
+            });
+        }
         if (link == null) {
             // Left the list in the same moment as it was chosen.
             at(now(), () -> ended(flight, attempt, Outcome.CONNECT_FAILED, null, false, "the host has left the list"));
@@ -511,7 +523,7 @@
             if (link == null) {
                 hosts.put(number, new HostLink(spec, terms.gateway(), loop, transport, reader, linkBounds,
                     budget, random, this, log));
-            } else {
+            } else if (!link.spec().equals(spec)) {
                 link.spec(spec);
             }
             HostEntry before = told.get(number);
--- a/src/main/java/flintlead/gateway/Flight.java
+++ b/src/main/java/flintlead/gateway/Flight.java
@@ -6,6 +6,7 @@
 import flintlead.port.Handle;
 import flintlead.port.Outcome;
 import flintlead.time.Moment;
+import flintlead.time.Span;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -33,6 +34,8 @@
     final String token;
     final Terms.Footprint footprint;
     final boolean idempotent;
+    /** How long the hosts know its token; zero for one that is not tokened. */
+    final Span repeatsFor;
     final Moment deadline;
     final Intake.Source source;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -41,13 +44,14 @@
     String trouble;
     boolean stopped;
 
-    Flight(long id, Ask ask, String token, Terms.Footprint footprint, boolean idempotent, Moment deadline,
-           Intake.Source source) {
+    Flight(long id, Ask ask, String token, Terms.Footprint footprint, boolean idempotent, Span repeatsFor,
+           Moment deadline, Intake.Source source) {
         this.id = id;
         this.ask = ask;
         this.token = token;
         this.footprint = footprint;
         this.idempotent = idempotent;
+        this.repeatsFor = repeatsFor;
         this.deadline = deadline;
         this.source = source;
     }
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -1,5 +1,6 @@
 package flintlead.gateway;
 
+import flintlead.Control;
 import flintlead.admission.Intake;
 import flintlead.ids.Ids;
 import flintlead.link.HostSpec;
@@ -7,6 +8,7 @@
 import flintlead.loop.Loop;
 import flintlead.loop.Transport;
 import flintlead.netty.NettyLoop;
+import flintlead.port.Decider;
 import flintlead.port.Outcome;
 import flintlead.time.Moment;
 import flintlead.time.Span;
@@ -41,6 +43,8 @@
         private Loop loop;
         private Transport transport;
 
+        private Decider decider = Control::new;
+
         private Builder(Terms terms) {
             this.terms = terms;
         }
@@ -61,6 +65,12 @@
             return this;
         }
 
+        /** Other decisions than the program's own, to compare them in the laboratory. */
+        public Builder decidedBy(Decider other) {
+            this.decider = other;
+            return this;
+        }
+
         /** A loop and transport to live on, which stay their owner's; by default a thread and sockets of its own. */
         public <L extends Loop & Transport> Builder on(L world) {
             this.loop = world;
@@ -90,7 +100,8 @@
         own = builder.loop == null ? new NettyLoop(builder.terms.gateway()) : null;
         loop = own != null ? own : builder.loop;
         Transport transport = own != null ? own : builder.transport;
-        core = new Core(builder.terms, loop, transport, builder.bounds, builder.linkBounds, builder.seed, log);
+        core = new Core(builder.terms, loop, transport, builder.bounds, builder.linkBounds, builder.seed, log,
+            builder.decider);
         taker = new TakerOfCore(transport);
     }
 
--- a/src/main/java/flintlead/lab/VirtualWorld.java
+++ b/src/main/java/flintlead/lab/VirtualWorld.java
@@ -1,5 +1,7 @@
 package flintlead.lab;
 
+import flintlead.day.Net;
+import flintlead.day.Network;
 import flintlead.day.World;
 import flintlead.loop.Address;
 import flintlead.loop.Place;
@@ -37,7 +39,11 @@
     final Network network;
     final Random random;
     final Map<Address, VirtualListening> listening = new HashMap<>();
+    /** Who last listened at an address: a machine without power does not even refuse. */
+    final Map<Address, VirtualPlace> homes = new HashMap<>();
+    final Wiring wiring = new Wiring();
     int nextPort = 20_000;
+    private final Map<String, VirtualDisk> disks = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final CRC32C sum = new CRC32C();
     private Moment now = BEGIN;
@@ -56,6 +62,32 @@
         return new VirtualPlace(this, name);
     }
 
+    @Override
+    public VirtualPlace place(String name, int hall) {
+        VirtualPlace place = place(name);
+        place.hall(hall);
+        return place;
+    }
+
+    @Override
+    public VirtualPlace beside(Place shared, String name, int hall) {
+        return place(name, hall);
+    }
+
+    VirtualPlace home(Address address) {
+        return homes.get(address);
+    }
+
+    @Override
+    public Net net() {
+        return wiring;
+    }
+
+    @Override
+    public VirtualDisk disk(String name) {
+        return disks.computeIfAbsent(name, any -> new VirtualDisk(any.hashCode()));
+    }
+
     @Override
     public Moment clock() {
         return now;
--- /dev/null
+++ b/src/main/java/flintlead/lab/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on virtual days: outcomes paired by seed, intervals, sweeps. */
+package flintlead.lab.experiment;
--- /dev/null
+++ b/src/main/java/flintlead/lab/report/Columns.java
@@ -0,0 +1,80 @@
+package flintlead.lab.report;
+
+import flintlead.day.Chronicle;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.apache.arrow.memory.BufferAllocator;
+import org.apache.arrow.memory.RootAllocator;
+import org.apache.arrow.vector.BigIntVector;
+import org.apache.arrow.vector.Float8Vector;
+import org.apache.arrow.vector.IntVector;
+import org.apache.arrow.vector.VarCharVector;
+import org.apache.arrow.vector.VectorSchemaRoot;
+import org.apache.arrow.vector.ipc.ArrowFileWriter;
+import org.apache.arrow.vector.types.FloatingPointPrecision;
+import org.apache.arrow.vector.types.pojo.ArrowType;
+import org.apache.arrow.vector.types.pojo.Field;
+import org.apache.arrow.vector.types.pojo.Schema;
+
+/** Writes the invocations of a day as an Arrow file (Apache Arrow columnar format 1.4, IPC file), in batches. */
+public final class Columns {
+
+    private static final int BATCH = 65_536;
+
+    static final Schema SCHEMA = new Schema(List.of(Field.notNullable("at_us", new ArrowType.Int(64, true)),
+        Field.notNullable("function", new ArrowType.Utf8()), Field.notNullable("trigger_type", new ArrowType.Utf8()),
+        Field.nullable("gateway", new ArrowType.Utf8()), Field.notNullable("tries", new ArrowType.Int(32, true)),
+        Field.notNullable("end", new ArrowType.Utf8()), Field.notNullable("took_us", new ArrowType.Int(64, true)),
+        Field.notNullable("work_ms", new ArrowType.FloatingPoint(FloatingPointPrecision.DOUBLE))));
+
+    private Columns() {
+    }
+
+    /** @return rows written */
+    public static int write(Path file, Chronicle chronicle) throws IOException {
+        List<Chronicle.Invocation> all = chronicle.invocations;
+        try (BufferAllocator memory = new RootAllocator();
+             VectorSchemaRoot root = VectorSchemaRoot.create(SCHEMA, memory);
+             FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+                 StandardOpenOption.WRITE);
+             ArrowFileWriter writer = new ArrowFileWriter(root, null, channel)) {
+            writer.start();
+            for (int from = 0; from < all.size(); from += BATCH) {
+                List<Chronicle.Invocation> batch = all.subList(from, Math.min(all.size(), from + BATCH));
+                fill(root, batch);
+                writer.writeBatch();
+            }
+            writer.end();
+        }
+        return all.size();
+    }
+
+    private static void fill(VectorSchemaRoot root, List<Chronicle.Invocation> batch) {
+        root.allocateNew();
+        for (int i = 0; i < batch.size(); i++) {
+            Chronicle.Invocation each = batch.get(i);
+            ((BigIntVector) root.getVector("at_us")).setSafe(i, each.at().micros());
+            text(root, "function", i, each.function());
+            text(root, "trigger_type", i, each.triggerType());
+            text(root, "gateway", i, each.gateway());
+            ((IntVector) root.getVector("tries")).setSafe(i, each.tries());
+            text(root, "end", i, each.end().name());
+            ((BigIntVector) root.getVector("took_us")).setSafe(i, each.took().micros());
+            ((Float8Vector) root.getVector("work_ms")).setSafe(i, each.workMs());
+        }
+        root.setRowCount(batch.size());
+    }
+
+    private static void text(VectorSchemaRoot root, String column, int row, String text) {
+        VarCharVector vector = (VarCharVector) root.getVector(column);
+        if (text == null) {
+            vector.setNull(row);
+        } else {
+            vector.setSafe(row, text.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
--- a/src/main/java/flintlead/link/Connection.java
+++ b/src/main/java/flintlead/link/Connection.java
@@ -36,6 +36,9 @@
     private final long helloId;
     private Stream stream;
     private long count;
+    /** The latest request that was answered: bytes come in order, so that all before it have arrived too. */
+    private long arrivedUpTo;
+    private long lastSent;
     private boolean ready;
     private boolean retired;
     private boolean over;
@@ -150,6 +153,7 @@
     void send(Exchange exchange) {
         exchange.callId = nextId();
         exchange.connection = this;
+        lastSent = count;
         // From here on bytes may leave at any moment, whatever becomes of the connection.
         exchange.sent = true;
         out.put(exchange.callId, exchange);
@@ -171,6 +175,16 @@
         }
     }
 
+    /** Whether it is known to have arrived; else it may still lie in a kernel's buffer, or be sent by it once more. */
+    boolean hasArrived(Exchange exchange) {
+        return exchange.callId >> RANDOM_BITS <= arrivedUpTo;
+    }
+
+    /** Broken off, so that what has not left is never sent. */
+    void breakOff(String why) {
+        lost(Paths.Symptom.SILENT, why);
+    }
+
     /** Takes nothing new; closes when what is out has ended. */
     void retire() {
         retired = true;
@@ -181,7 +195,12 @@
         if (retired && out.isEmpty() && !over) {
             over = true;
             decoder.end();
-            stream.close();
+            if (lastSent > arrivedUpTo) {
+                // A kernel goes on sending what a close left behind: a dispatch called back would arrive whenever it can.
+                stream.abort();
+            } else {
+                stream.close();
+            }
             link.gone(this, true, null, "closed");
         }
     }
@@ -259,6 +278,9 @@
             return;
         }
         suspect = false;
+        if (id >> RANDOM_BITS <= count) {
+            arrivedUpTo = Math.max(arrivedUpTo, id >> RANDOM_BITS);
+        }
         if (id == pingId && id >= 0) {
             pingId = -1;
             pulse.ponged(link.loop.now());
--- a/src/main/java/flintlead/link/HostLink.java
+++ b/src/main/java/flintlead/link/HostLink.java
@@ -229,6 +229,20 @@
         return false;
     }
 
+    /**
+     * From now on it must not arrive any more. Where it is not known to have arrived, its connection is broken off: a
+     * network that was cut would otherwise hand it over when it is whole again, after the hosts have forgotten its token.
+     */
+    public void recall(Exchange exchange) {
+        if (!exchange.sent) {
+            if (waiting.remove(exchange)) {
+                exchange.end(Outcome.MOOT, null, false, "its time was over before there was a connection");
+            }
+        } else if (!exchange.connection.hasArrived(exchange)) {
+            exchange.connection.breakOff("what was sent can't be shown to have arrived in its time");
+        }
+    }
+
     // ---- silence ----
 
     private void look() {
--- a/src/main/java/flintlead/load/Bout.java
+++ b/src/main/java/flintlead/load/Bout.java
@@ -1,6 +1,7 @@
 package flintlead.load;
 
 import flintlead.admission.Intake;
+import flintlead.arrivals.Traffic;
 import flintlead.front.ClientFront;
 import flintlead.front.FrontBounds;
 import flintlead.gateway.Flintlead;
@@ -16,10 +17,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 
 /** One comparison: bare hosts and the same hosts behind a gateway, by turns in one process. */
 public record Bout(int hosts, int connections, int out, int size, int functions, int seconds, double rate,
-                   int atOnce) {
+                   int atOnce, Traffic traffic, Path bySecond) {
 
     private static final Span TIMEOUT = Span.ofMillis(3_000);
     private static final double HALF = 0.5;
@@ -52,7 +54,10 @@
             double perSecond = rate > 0 ? rate : HALF * gatewayMost.perSecond();
             through.open(perSecond, part);
             Loader.Measured bareTimes = direct.open(perSecond, part);
-            Loader.Measured times = through.open(perSecond, part);
+            Loader.Measured times = through.open(traffic.begin(perSecond, new Random(1)), part);
+            if (bySecond != null) {
+                write(bySecond, times);
+            }
             print.printf("open loop at %.0f/s: %d sent, %d succeeded, %d throttled, %d other%n", perSecond, times.sent(),
                 times.succeeded(), times.throttled(), times.other());
             for (double percentile : new double[] {50, 99, 99.9}) {
@@ -76,6 +81,19 @@
         }
     }
 
+    /** A line a second, as other tools read it; by when invocations were due, not by when they were answered. */
+    private static void write(Path file, Loader.Measured times) throws IOException {
+        StringBuilder text = new StringBuilder("second,sent,succeeded,throttled,other,p50_us,p99_us,max_us\n");
+        for (int i = 0; i < times.seconds().size(); i++) {
+            Loader.Second each = times.seconds().get(i);
+            text.append(i).append(',').append(each.sent).append(',').append(each.micros.getTotalCount()).append(',')
+                .append(each.throttled).append(',').append(each.other).append(',').append(each.micros.getValueAtPercentile(50))
+                .append(',').append(each.micros.getValueAtPercentile(99)).append(',').append(each.micros.getMaxValue())
+                .append('\n');
+        }
+        Files.writeString(file, text);
+    }
+
     private static NettyLoop loop(List<NettyLoop> loops, String name) {
         NettyLoop loop = new NettyLoop(name);
         loops.add(loop);
--- a/src/main/java/flintlead/load/Loader.java
+++ b/src/main/java/flintlead/load/Loader.java
@@ -1,5 +1,6 @@
 package flintlead.load;
 
+import flintlead.arrivals.Arrivals;
 import flintlead.client.Client;
 import flintlead.client.Reply;
 import flintlead.loop.Address;
@@ -20,7 +21,19 @@
 public final class Loader {
 
     /** What was measured. Times in microseconds, of answers that succeeded. */
-    public record Measured(long sent, long succeeded, long throttled, long other, double perSecond, Histogram micros) { }
+    public record Measured(long sent, long succeeded, long throttled, long other, double perSecond, Histogram micros,
+                           List<Second> seconds) { }
+
+    /** One second of it, by when invocations were due. */
+    public static final class Second {
+        public long sent;
+        public long throttled;
+        public long other;
+        public final Histogram micros = new Histogram(600_000_000L, 2);
+    }
+
+    /** Longer bouts keep one histogram for the rest. */
+    private static final int SECONDS_MOST = 3_600;
 
     private static final Span STEP = new Span(250);
 
@@ -37,6 +50,8 @@
     private long throttled;
     private long other;
     private Histogram micros = fresh();
+    private List<Second> seconds = new ArrayList<>();
+    private Moment began;
 
     /** @param size bytes of each payload */
     public Loader(NettyLoop loop, List<Address> to, int connections, int size, int functions, String type, Span timeout,
@@ -71,22 +86,39 @@
         throttled = 0;
         other = 0;
         micros = fresh();
+        seconds = new ArrayList<>();
+        began = loop.now();
+    }
+
+    private Second second(Moment due) {
+        int at = (int) Math.max(0, Math.min(SECONDS_MOST, due.since(began).micros() / 1_000_000));
+        while (seconds.size() <= at) {
+            seconds.add(new Second());
+        }
+        return seconds.get(at);
     }
 
     private Measured measured(Span lasted) {
-        return new Measured(sent, succeeded, throttled, other, succeeded * 1e6 / lasted.micros(), micros);
+        return new Measured(sent, succeeded, throttled, other, succeeded * 1e6 / lasted.micros(), micros,
+            List.copyOf(seconds));
     }
 
-    private void send(Moment from, Runnable then) {
+    private void send(Moment from, int function, Runnable then) {
         Client client = clients.get((int) (sent++ % clients.size()));
-        client.invoke("fn-" + random.nextInt(functions), type, null, timeout, null, payload, false, reply -> {
+        Second second = second(from);
+        second.sent++;
+        client.invoke("fn-" + (function < 0 ? random.nextInt(functions) : function), type, null, timeout, null, payload, false, reply -> {
             if (reply.kind() == Reply.Kind.SUCCEEDED) {
                 succeeded++;
-                micros.recordValue(Math.max(0, NettyLoop.clock().since(from).micros()));
+                long took = Math.max(0, Math.min(600_000_000L, NettyLoop.clock().since(from).micros()));
+                micros.recordValue(took);
+                second.micros.recordValue(took);
             } else if (reply.kind() == Reply.Kind.THROTTLED) {
                 throttled++;
+                second.throttled++;
             } else {
                 other++;
+                second.other++;
             }
             then.run();
         });
@@ -105,14 +137,14 @@
                 open[0]--;
                 if (loop.now().isBefore(end)) {
                     open[0]++;
-                    send(loop.now(), again[0]);
+                    send(loop.now(), -1, again[0]);
                 } else if (open[0] == 0) {
                     done.complete(measured(loop.now().since(begin)));
                 }
             };
             for (int i = 0; i < out; i++) {
                 open[0]++;
-                send(loop.now(), again[0]);
+                send(loop.now(), -1, again[0]);
             }
         });
         return done.join();
@@ -120,28 +152,33 @@
 
     /** Sends at the rate, Poisson, for the time, and waits for the answers. */
     public Measured open(double perSecond, Span lasts) {
+        return open(Arrivals.poisson(perSecond, random), lasts);
+    }
+
+    /** Sends as the process says, for the time at most, and waits for the answers. */
+    public Measured open(Arrivals arrivals, Span lasts) {
         CompletableFuture<Measured> done = new CompletableFuture<>();
         loop.execute(() -> {
             reset();
             Moment begin = loop.now();
-            step(begin, begin, begin.plus(lasts), perSecond, new long[1], done);
+            step(begin, arrivals.next(1), begin.plus(lasts), arrivals, new long[1], done);
         });
         return done.join();
     }
 
-    private void step(Moment begin, Moment next, Moment end, double perSecond, long[] open,
+    private void step(Moment begin, Arrivals.Arrival first, Moment end, Arrivals arrivals, long[] open,
                       CompletableFuture<Measured> done) {
-        Moment due = next;
-        while (!due.isAfter(loop.now()) && due.isBefore(end)) {
+        Arrivals.Arrival next = first;
+        while (next != null && !begin.plus(next.at()).isAfter(loop.now()) && begin.plus(next.at()).isBefore(end)) {
             open[0]++;
-            send(due, () -> open[0]--);
-            due = due.plus(new Span(Math.round(-Math.log(1 - random.nextDouble()) / perSecond * 1e6)));
+            send(begin.plus(next.at()), next.function(), () -> open[0]--);
+            next = arrivals.next(1);
         }
-        Moment following = due;
-        if (following.isBefore(end) || open[0] > 0) {
-            loop.after(STEP, () -> step(begin, following, end, perSecond, open, done));
+        Arrivals.Arrival following = next;
+        if (following != null && begin.plus(following.at()).isBefore(end) || open[0] > 0) {
+            loop.after(STEP, () -> step(begin, following, end, arrivals, open, done));
         } else {
-            done.complete(measured(end.since(begin)));
+            done.complete(measured(loop.now().isBefore(end) ? loop.now().since(begin) : end.since(begin)));
         }
     }
 
--- a/src/main/java/flintlead/netty/NettyStream.java
+++ b/src/main/java/flintlead/netty/NettyStream.java
@@ -5,11 +5,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.SocketChannel;
 
 /** One Netty channel as a {@link Stream}. */
 final class NettyStream implements Stream {
@@ -101,6 +104,14 @@
 
     @Override
     public void abort() {
+        if (channel instanceof SocketChannel && channel.isOpen()) {
+            // Else the kernel goes on to send what is left, for minutes, and it may arrive when nobody expects it any more.
+            try {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            } catch (ChannelException e) {
+                // The other end was faster: there is nothing left to send.
+            }
+        }
         channel.close();
     }
 
--- a/src/main/java/flintlead/standin/Make.java
+++ b/src/main/java/flintlead/standin/Make.java
@@ -27,6 +27,12 @@
             fallMultiple, overloadFor, tokened, usualWork);
     }
 
+    /** The same kind of host on another machine. */
+    public Make machine(int ownCores, double ownSpeed, double ownMemoryMb, int ownQueue, int ownLoadsAtOnce) {
+        return new Make(ownCores, ownSpeed, ownMemoryMb, ownQueue, ownLoadsAtOnce, loadsWhenAbsent, addsCopies, idleLife,
+            coldFrom, warmAfter, fallMultiple, overloadFor, tokened, usualWork);
+    }
+
     public Make of(int cores, double memoryMb, int queue, double usualWork) {
         return new Make(cores, speed, memoryMb, queue, loadsAtOnce, loadsWhenAbsent, addsCopies, idleLife, coldFrom,
             warmAfter, fallMultiple, overloadFor, tokened, usualWork);
--- a/src/test/java/flintlead/day/AuditorTest.java
+++ b/src/test/java/flintlead/day/AuditorTest.java
@@ -90,6 +90,16 @@
         only(1);
     }
 
+    /** Found by the search: sent 49 us before the stall, it was read after it, and had its whole time from there. */
+    @Test
+    void whatWasOnItsWayWhenAGatewayStoppedIsDueFromItsReading() {
+        hear(tried("check", "t", 2_899), Reply.Kind.ERRORED, 6_650);
+        stalls.add(new Auditor.Stall("gw", at(2_900), at(3_700)));
+        assertEquals(List.of(), judge());
+        stalls.set(0, new Auditor.Stall("gw", at(2_950), at(3_700)));
+        only(1);
+    }
+
     @Test
     void aNonIdempotentOneSentAgainAfterItMayHaveRunBreaksRuleTwo() {
         hear(tried("apply", "t", 0), Reply.Kind.SUCCEEDED, 90);
--- /dev/null
+++ b/src/test/java/flintlead/lab/ExperimentTest.java
@@ -0,0 +1,177 @@
+package flintlead.lab;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.day.Chronicle;
+import flintlead.day.Plan;
+import flintlead.lab.experiment.Experiment;
+import flintlead.lab.experiment.Factor;
+import flintlead.lab.experiment.Paired;
+import flintlead.lab.policy.Policies;
+import flintlead.lab.report.Columns;
+import flintlead.lab.report.Pages;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.apache.arrow.memory.RootAllocator;
+import org.apache.arrow.vector.BigIntVector;
+import org.apache.arrow.vector.VectorSchemaRoot;
+import org.apache.arrow.vector.ipc.ArrowFileReader;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Experiments tell what is there, not what is not; reports hold what happened. */
+@Timeout(120)
+class ExperimentTest {
+
+    private static final String BUSY = """
+        name: busy
+        lasts: 3s
+        gateways: 3
+        hosts: 5
+        perSecond: 150
+        functions: 30
+        warmUp: 500ms
+        machines:
+          - {kind: old, share: 2, cores: 2, speed: 0.8}
+          - {kind: new, share: 1, cores: 8, speed: 1.5}
+        work: {shape: lognormal, spread: 1, acrossFunctions: 0.5}
+        arrivals: {process: bursts, factor: 3, calm: 700ms, burst: 200ms}
+        rules: {warmAfter: 2s, overloadFor: 1s}
+        troubles:
+          - {kind: hang, at: 1s, for: 1s, part: 0.2}
+        """;
+
+    @Test
+    void intervalsCoverTheTruthAsOftenAsTheySay() {
+        Random random = new Random(5);
+        int covered = 0;
+        int coveredByBoot = 0;
+        for (int i = 0; i < 400; i++) {
+            double[] a = random.doubles(25).toArray();
+            double[] b = new double[25];
+            for (int j = 0; j < b.length; j++) {
+                b[j] = a[j] + 0.3 + random.nextGaussian();
+            }
+            Paired paired = Paired.of(a, b, i);
+            covered += paired.low() <= 0.3 && paired.high() >= 0.3 ? 1 : 0;
+            coveredByBoot += paired.bootLow() <= 0.3 && paired.bootHigh() >= 0.3 ? 1 : 0;
+        }
+        assertEquals(380, covered, 16);
+        assertEquals(375, coveredByBoot, 22);
+    }
+
+    @Test
+    void equalPlansDifferInNothingAndWorseOnesClearly() throws Exception {
+        Plan plan = Plan.parse("busy", BUSY);
+        Map<String, Plan> arms = new LinkedHashMap<>();
+        arms.put("one", plan);
+        arms.put("same", plan);
+        arms.put("random", plan.decidedBy("random"));
+        List<Experiment.Arm> done = new Experiment(1, 6, 4).play(arms);
+        Experiment.compare(done.get(0), done.get(1)).forEach((name, paired) -> {
+            assertEquals(0, paired.difference(), name);
+            assertFalse(paired.isClear(), name);
+        });
+        Paired loads = Experiment.compare(done.get(0), done.get(2)).get("loads");
+        assertTrue(loads.isClear() && loads.low() > 0, loads.toString());
+        done.forEach(arm -> assertEquals(List.of(), arm.wrong(), arm.name()));
+        // Whoever decides, the traffic is the same.
+        assertEquals(Lab.run(plan, 3).result().invocations(), Lab.run(plan.decidedBy("hash"), 3).result().invocations());
+    }
+
+    @Test
+    void everyPolicyPlaysADayAndKeepsTheRulesThatAnyMust() throws Exception {
+        Plan plan = Plan.parse("busy", BUSY);
+        for (String name : Policies.NAMES) {
+            Lab.Run run = Lab.run(plan.decidedBy(name), 2);
+            assertNull(run.failure(), name);
+            assertNull(run.wrong(), name);
+            assertTrue(run.result().service() > 0.3, name + ": " + run.result().service());
+        }
+        assertThrows(IllegalArgumentException.class, () -> Lab.run(plan.decidedBy("best"), 1));
+    }
+
+    @Test
+    void aFactorSaysHowItIsWritten() {
+        Plan plan = assertDoesNotThrowPlan();
+        Map<String, Plan> arms = Factor.parse("load=0.5,2").arms(plan);
+        assertEquals(List.of("load=0.5", "load=2"), List.copyOf(arms.keySet()));
+        assertEquals(300, arms.get("load=2").perSecond());
+        assertEquals(7, Factor.parse("hosts=7").arms(plan).get("hosts=7").hosts());
+        for (String wrong : new String[] {"", "hosts", "hosts=", "hosts=0", "hosts=1.5", "gateways=x", "load=-1", "wheels=4"}) {
+            String said = assertThrows(IllegalArgumentException.class, () -> Factor.parse(wrong)).getMessage();
+            assertTrue(said.contains("write"), said);
+        }
+    }
+
+    private static Plan assertDoesNotThrowPlan() {
+        try {
+            return Plan.parse("busy", BUSY);
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void machinesAreAsTheirSharesSay() throws Exception {
+        Plan plan = Plan.parse("busy", BUSY);
+        long old = 0;
+        for (int i = 0; i < 300; i++) {
+            old += plan.machine(i).cores() == 2 ? 1 : 0;
+        }
+        assertEquals(200, old, 5);
+    }
+
+    @Test
+    void reportsAndColumnsHoldEveryInvocation(@TempDir Path folder) throws Exception {
+        Plan plan = Plan.parse("busy", BUSY);
+        Chronicle chronicle = new Chronicle(100_000);
+        Lab.Run run = Lab.run(plan, 4, chronicle);
+        assertEquals(Lab.run(plan, 4).result().service(), run.result().service(), "writing it down changes nothing");
+        assertEquals(run.result().invocations(), chronicle.invocations.size());
+        Path columns = folder.resolve("day.arrow");
+        assertEquals(chronicle.invocations.size(), Columns.write(columns, chronicle));
+        try (RootAllocator memory = new RootAllocator(); FileChannel channel = FileChannel.open(columns);
+             ArrowFileReader reader = new ArrowFileReader(channel, memory)) {
+            VectorSchemaRoot root = reader.getVectorSchemaRoot();
+            int rows = 0;
+            while (reader.loadNextBatch()) {
+                BigIntVector at = (BigIntVector) root.getVector("at_us");
+                for (int i = 0; i < root.getRowCount(); i++) {
+                    assertEquals(chronicle.invocations.get(rows + i).at().micros(), at.get(i));
+                }
+                rows += root.getRowCount();
+            }
+            assertEquals(chronicle.invocations.size(), rows);
+        }
+        Path page = folder.resolve("day.html");
+        new Pages().day(page, plan, 4, run, chronicle);
+        String text = Files.readString(page);
+        assertEquals(4, text.split("<svg", -1).length - 1);
+        assertTrue(text.contains("hang"), "the band of the trouble");
+        assertArrayEquals(new int[0], text.chars().filter(c -> c == 0).toArray());
+        List<Experiment.Arm> arms = new Experiment(1, 2, 2).play(Factor.parse("load=0.5,1").arms(plan));
+        Path compared = folder.resolve("compare.html");
+        new Pages().experiment(compared, "busy", arms, 2);
+        assertTrue(Files.readString(compared).contains("load=1 against load=0.5"));
+    }
+
+    @Test
+    void aFullChronicleSaysSo() throws Exception {
+        Chronicle small = new Chronicle(10);
+        Lab.Run run = Lab.run(Plan.parse("busy", BUSY), 1, small);
+        assertEquals(10, small.invocations.size());
+        assertEquals(run.result().invocations() - 10, small.leftOut());
+    }
+}
--- /dev/null
+++ b/src/test/java/flintlead/member/SwimTest.java
@@ -0,0 +1,297 @@
+package flintlead.member;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Members find each other, miss the dead, keep the living, and heal; nothing grows without bound. */
+class SwimTest {
+
+    private static MemberFleet fleet(int size, long seed) {
+        MemberFleet fleet = new MemberFleet(size, Rhythm.USUAL, seed);
+        fleet.startAll();
+        fleet.run(Span.ofMillis(1_100));
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(60_000)), "all find all");
+        return fleet;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 16, 64})
+    void theDeadAreMissedByAllAndTheLivingAreKept(int size) {
+        MemberFleet fleet = fleet(size, 1);
+        fleet.run(Span.ofMillis(30_000));
+        assertEquals(0, fleet.wrongDeaths);
+        fleet.all.get(size - 1).kill();
+        Span took = fleet.until(fleet::agrees, Span.ofMillis(120_000));
+        assertNotNull(took, "all miss the dead one");
+        assertEquals(0, fleet.wrongDeaths);
+    }
+
+    @Test
+    void aMemberThatComesBackIsTakenForNewAtOnce() {
+        MemberFleet fleet = fleet(16, 2);
+        fleet.all.get(5).kill();
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(60_000)));
+        fleet.all.get(5).start();
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(10_000)), "the name is there again");
+    }
+
+    @Test
+    void aProcessReplacedWithinASecondIsNeverMissed() {
+        MemberFleet fleet = fleet(16, 3);
+        fleet.all.get(5).kill();
+        fleet.run(Span.ofMillis(500));
+        fleet.all.get(5).start();
+        fleet.run(Span.ofMillis(60_000));
+        assertEquals(0, fleet.deaths);
+        assertTrue(fleet.agrees());
+    }
+
+    @Test
+    void whoLeavesIsGoneAtOnceAndNotSuspected() {
+        MemberFleet fleet = fleet(16, 4);
+        fleet.all.get(7).swim.leave();
+        fleet.run(Span.ofMillis(100));
+        fleet.all.get(7).kill();
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(8_000)));
+        fleet.run(Span.ofMillis(30_000));
+        assertEquals(0, fleet.deaths, "it left; nobody found it dead");
+    }
+
+    @Test
+    void withThirtyPercentLostNobodyAliveStaysDead() {
+        MemberFleet fleet = fleet(32, 5);
+        fleet.loss = 0.3;
+        fleet.run(Span.ofMillis(120_000));
+        fleet.loss = 0;
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(60_000)));
+        assertTrue(fleet.wrongDeaths <= 32, fleet.wrongDeaths + " wrong deaths, seen by single members");
+    }
+
+    /** Lifeguard's point: the one that stood still must not declare the others dead when it wakes. */
+    @Test
+    void aMemberThatStoodStillBlamesItselfAndNotTheOthers() {
+        MemberFleet fleet = fleet(24, 6);
+        for (int round = 0; round < 5; round++) {
+            MemberFleet.One sleeper = fleet.all.get(3);
+            sleeper.changes.clear();
+            sleeper.stillUntil = fleet.now.plus(Span.ofMillis(8_000));
+            fleet.run(Span.ofMillis(40_000));
+            assertFalse(sleeper.changes.stream().anyMatch(change -> change.contains("DEAD")), sleeper.changes.toString());
+        }
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(60_000)), "it is back in all lists");
+    }
+
+    @Test
+    void twoHalvesOfACutNetworkFindTogetherAgain() {
+        MemberFleet fleet = fleet(20, 7);
+        fleet.cutBelow = 10;
+        fleet.run(Span.ofMillis(120_000));
+        for (MemberFleet.One one : fleet.all) {
+            assertEquals(10, one.swim.there(), one.name);
+        }
+        fleet.cutBelow = 0;
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(120_000)), "whole again");
+    }
+
+    @Test
+    void halfDyingAtOnceIsFoundOut() {
+        MemberFleet fleet = fleet(40, 8);
+        for (int i = 20; i < 40; i++) {
+            fleet.all.get(i).kill();
+        }
+        assertNotNull(fleet.until(fleet::agrees, Span.ofMillis(180_000)));
+        assertEquals(0, fleet.wrongDeaths);
+    }
+
+    @Test
+    void theCostOfAMemberDoesNotGrowWithTheirNumber() {
+        double[] letters = new double[2];
+        double[] bytes = new double[2];
+        int[] sizes = {16, 128};
+        for (int i = 0; i < 2; i++) {
+            MemberFleet fleet = fleet(sizes[i], 9);
+            fleet.all.forEach(one -> {
+                one.letters = 0;
+                one.bytes = 0;
+            });
+            fleet.run(Span.ofMillis(30_000));
+            letters[i] = fleet.all.stream().mapToLong(one -> one.letters).sum() / 30.0 / sizes[i];
+            bytes[i] = fleet.all.stream().mapToLong(one -> one.bytes).sum() / 30.0 / sizes[i];
+        }
+        assertTrue(letters[1] < 1.3 * letters[0] && letters[1] < 4, letters[0] + " and " + letters[1] + " letters a second");
+        assertTrue(bytes[1] < 3_000, bytes[1] + " bytes a second");
+    }
+
+    @Test
+    void wordsReachTheMemberOfTheNumber() {
+        MemberFleet fleet = fleet(4, 10);
+        assertTrue(fleet.all.get(0).swim.tell(2, new byte[256]));
+        fleet.run(Span.ofMillis(10));
+        assertTrue(fleet.all.get(2).changes.contains("word of gw-0 256"));
+        assertFalse(fleet.all.get(0).swim.tell(9, new byte[1]));
+        assertThrows(IllegalArgumentException.class, () -> fleet.all.get(0).swim.tell(2, new byte[257]));
+    }
+
+    @Test
+    void namesWithoutEndFillNothing() {
+        Rhythm small = new Rhythm(Span.ofMillis(1_000), Span.ofMillis(300), 3, 4, 6, 4, 50);
+        MemberFleet fleet = new MemberFleet(3, small, 11);
+        fleet.startAll();
+        fleet.run(Span.ofMillis(10_000));
+        Swim swim = fleet.all.get(0).swim;
+        for (int i = 0; i < 10_000; i++) {
+            Member stranger = new Member("x-" + i, "nowhere", i, 1, Member.State.ALIVE);
+            swim.heard(Letter.of(Letter.Kind.PING, i, "x-" + i, "", List.of(stranger)), fleet.now);
+            swim.heard(Letter.of(Letter.Kind.ASK, i, "x-" + i, "gw-1", List.of()), fleet.now);
+        }
+        assertEquals(50, swim.sizes().get("members"));
+        assertTrue(swim.sizes().get("rumours") <= 51 && swim.sizes().get("helped") <= 256, swim.sizes().toString());
+        assertTrue(swim.tally().refused > 9_000);
+    }
+
+    // ---- what overrides what ----
+
+    @Provide
+    Arbitrary<Member> member() {
+        return Combinators.combine(Arbitraries.longs().between(0, 4), Arbitraries.of(Member.State.values()))
+            .as((incarnation, state) -> new Member("m", "a", 0, incarnation, state));
+    }
+
+    /** In whatever order and however often news come, all end with the same: the least upper bound. */
+    @Property
+    void newsInAnyOrderEndAlike(@ForAll("news") List<Member> news, @ForAll long seed) {
+        List<Member> shuffled = new ArrayList<>(news);
+        shuffled.addAll(news);
+        java.util.Collections.shuffle(shuffled, new Random(seed));
+        assertEquals(last(news), last(shuffled));
+    }
+
+    @Provide
+    Arbitrary<List<Member>> news() {
+        return member().list().ofMinSize(1).ofMaxSize(8);
+    }
+
+    private static Member last(List<Member> news) {
+        Member known = news.get(0);
+        for (Member each : news) {
+            known = each.overrides(known) ? each : known;
+        }
+        return known;
+    }
+
+    /** Whatever is said of it, a member's next word overrides it. */
+    @Property
+    void whoIsSaidToBeGoneCanAlwaysRefute(@ForAll("news") List<Member> news) {
+        List<Letter> sent = new ArrayList<>();
+        Swim swim = new Swim(new Member("m", "a", 0, 2, Member.State.ALIVE), List.of(), Rhythm.USUAL, new Swim.Carrier() {
+            @Override
+            public void send(String address, Letter letter) {
+                sent.add(letter);
+            }
+
+            @Override
+            public void wakeAt(Moment when) {
+                // Time stands still here.
+            }
+
+            @Override
+            public void changed(Member before, Member now, String why) {
+                // Only the refutation is looked at.
+            }
+
+            @Override
+            public void word(Member from, byte[] word) {
+                // None come.
+            }
+        }, new Random(1));
+        Moment now = new Moment(1_000_000);
+        swim.begin(now);
+        for (Member each : news) {
+            swim.heard(Letter.of(Letter.Kind.PAGE, 1, "other", "", List.of(each)), now);
+        }
+        Member self = swim.self();
+        assertEquals(Member.State.ALIVE, self.state());
+        for (Member each : news) {
+            assertTrue(each.state() == Member.State.ALIVE && each.incarnation() == self.incarnation() || self.overrides(each),
+                self + " against " + each);
+        }
+    }
+
+    // ---- letters ----
+
+    @Property
+    void lettersComeOutAsTheyWentIn(@ForAll("news") List<Member> news, @ForAll long number) {
+        Letter letter = new Letter(Letter.Kind.ASK, number, "gw-ä", "gw-1", news, new byte[] {1, 2});
+        Letter read = LetterCode.read(LetterCode.write(letter));
+        assertEquals(letter.news(), read.news());
+        assertEquals(letter.from() + letter.about() + letter.number(), read.from() + read.about() + read.number());
+        assertArrayEquals(letter.word(), read.word());
+    }
+
+    @Property
+    void bytesThatAreNoLetterAreRefusedAndNothingElse(@ForAll byte[] bytes, @ForAll("news") List<Member> news,
+                                                      @ForAll int cut) {
+        byte[] good = LetterCode.write(Letter.of(Letter.Kind.PING, 1, "gw", "", news));
+        byte[] shorter = java.util.Arrays.copyOf(good, Math.floorMod(cut, good.length));
+        for (byte[] each : new byte[][] {bytes, shorter}) {
+            try {
+                LetterCode.read(each);
+            } catch (IllegalArgumentException e) {
+                assertNotNull(e.getMessage());
+            }
+        }
+    }
+
+    @Test
+    void moreNewsThanFitAreLeftOutFromTheEnd() {
+        List<Member> many = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            many.add(new Member("gw-" + i, "udp:127.0.0.1:7000", i, 1, Member.State.ALIVE));
+        }
+        byte[] bytes = LetterCode.write(Letter.of(Letter.Kind.PAGE, 1, "gw", "", many));
+        assertTrue(bytes.length <= LetterCode.BYTES_MOST);
+        List<Member> read = LetterCode.read(bytes).news();
+        assertTrue(read.size() > 20, read.size() + " fit");
+        assertEquals(many.subList(0, read.size()), read);
+    }
+
+    @Test
+    void sealsTellOwnLettersFromOthersThroughAChangeOfKeys() {
+        byte[] old = "old key, sixteen bytes".getBytes(StandardCharsets.US_ASCII);
+        byte[] young = "new key, sixteen bytes".getBytes(StandardCharsets.US_ASCII);
+        byte[] letter = {1, 2, 3};
+        Seal before = new Seal(List.of(old));
+        Seal between = new Seal(List.of(young, old));
+        Seal after = new Seal(List.of(young));
+        assertArrayEquals(letter, between.open(before.close(letter)));
+        assertArrayEquals(letter, after.open(between.close(letter)));
+        assertNull(after.open(before.close(letter)));
+        byte[] changed = before.close(letter);
+        changed[changed.length - 1]++;
+        assertNull(before.open(changed));
+        assertNull(before.open(new byte[5]));
+        assertNull(before.open(letter));
+        assertThrows(IllegalArgumentException.class, () -> new Seal(List.of(new byte[8])));
+    }
+}
