Membership between gateways, and learning from others after a start

Need: a gateway knew nothing of the others, and one that had just begun loaded anew what stood at hosts that others could have named.

On loopback a blank gateway ran a third and more of the standing functions cold, one that learnt none, and nothing went to the host that had drained.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -90,7 +90,7 @@
 
     private final Gateway gateway;
     private final Deployment facts;
-    private final int gateways;
+    private int gateways;
     private final Random random;
     private final Row[] rows;
     private final Span margin;
@@ -617,6 +617,37 @@
         Words.read(words, (id, over) -> spread(function(id), over));
     }
 
+    /** More than told at the start make each one's part smaller; fewer not larger: those missed may live. */
+    @Override
+    public void gatewaysAre(int there) {
+        gateways = Math.max(Math.max(1, facts.gateways()), there);
+    }
+
+    /** Departure: hearsay of a gateway that saw it makes a mark where this one has none of its own. */
+    @Override
+    public void learned(long id, long function, int copies, Span age) {
+        Host host = hosts.get(id);
+        Moment seen = gateway.now().minus(age);
+        if (host != null && open(host) && age.isShorterThan(facts.idleLife())
+            && seen.isAfter(host.entry.startedAt()) && function(function).at(host) == null) {
+            Mark mark = function(function).mark(host);
+            mark.instances = copies;
+            mark.usedAt = seen;
+            mark.toldOf = true;
+        }
+    }
+
+    /** Only what was seen here, lest hearsay go in a circle and stay young. */
+    @Override
+    public void teach(Pupil pupil) {
+        Moment now = gateway.now();
+        functions.forEach((id, fn) -> fn.marks.forEach(mark -> {
+            if (!mark.toldOf && open(mark.host) && believed(mark, now) > 0) {
+                pupil.stands(mark.host.id(), id, mark.instances, now.since(mark.usedAt));
+            }
+        }));
+    }
+
     /**
      * Loads that end after the objective, are turned away or fail narrow the own loads under way, quick ones
      * widen them. Covers a slow or stopped store, crowded loaders, short memory, functions asked for once.
@@ -642,6 +673,7 @@
     private void stands(Mark mark, int least, Moment now) {
         mark.instances = Math.max(believed(mark, now), least);
         mark.usedAt = now;
+        mark.toldOf = false;
     }
 
     // ---- hosts ----
@@ -772,7 +804,7 @@
             sent.outcome = outcome;
             sent.watch.run();
             inFlight--;
-            // The host lives, only the way to it broke: without this a host of three addresses is lost with one.
+            // The host lives, only the way to it broke: else one of three addresses takes the host along.
             retryable = outcome == Outcome.STRAYED ? sent.host : retryable;
             answered(this, sent, outcome, elapsed, remark);
             if (last) {
--- a/src/main/java/flintlead/daemon/Installation.java
+++ b/src/main/java/flintlead/daemon/Installation.java
@@ -8,6 +8,9 @@
 import flintlead.link.LinkBounds;
 import flintlead.loop.Address;
 import flintlead.port.HostEntry;
+import flintlead.member.Rhythm;
+import flintlead.member.Seal;
+import flintlead.peers.PeerTerms;
 import flintlead.registry.RegistryTerms;
 import flintlead.time.Moment;
 import flintlead.time.Span;
@@ -16,6 +19,7 @@
 import flintlead.yaml.TermsReader;
 import flintlead.yaml.YamlException;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -30,11 +34,13 @@
  * @param hosts the static list; empty where they come from a registry
  * @param registry where the hosts come from; null for the static list
  * @param snapshots the folder that the last good list is kept in; null for nowhere
+ * @param peers how it keeps company with other gateways; null for alone
+ * @param keyFiles of the letters between gateways, read again in service
  * @param listen addresses at which clients come in
  */
 public record Installation(Terms terms, List<HostSpec> hosts, RegistryTerms registry, Path snapshots,
                            List<Address> listen, Intake.Bounds intake, FrontBounds front, LinkBounds links,
-                           Span stopGrace) {
+                           Span stopGrace, PeerTerms peers, List<Path> keyFiles) {
 
     private static final Span SHORTEST = new Span(1);
     private static final Span LONGEST = Span.ofMillis(3_600_000);
@@ -94,9 +100,67 @@
             bounds.span("idleAfter", usual.idle(), SHORTEST, LONGEST));
         bounds.end();
         Span grace = top.span("stopGrace", Span.ofMillis(5_000), Span.ZERO, LONGEST);
+        List<Path> keyFiles = new ArrayList<>();
+        PeerTerms peers = top.has("members") ? peers(top.section("members"), keyFiles) : null;
         top.end();
         faults.throwIfAny();
-        return new Installation(terms, hosts, registry, snapshots, listen, intake, front, links, grace);
+        return new Installation(terms, hosts, registry, snapshots, listen, intake, front, links, grace, peers, keyFiles);
+    }
+
+    /** The company of other gateways; faults are collected. */
+    private static PeerTerms peers(Section from, List<Path> keyFiles) {
+        Address.Udp at = udp(from, "listen", from.text("listen", null), new Address.Udp("127.0.0.1", 1));
+        Address.Udp told = from.has("told") ? udp(from, "told", from.text("told", null), null) : null;
+        List<Address.Udp> seeds = new ArrayList<>();
+        for (String text : from.texts("seeds", List.of())) {
+            seeds.add(udp(from, "seeds", text, at));
+        }
+        for (String text : from.texts("keyFiles", List.of())) {
+            keyFiles.add(Path.of(text));
+        }
+        List<byte[]> keys = List.of();
+        try {
+            keys = keys(keyFiles);
+        } catch (IOException e) {
+            from.wrong("keyFiles", e.getMessage(), "write a file with at least " + Seal.KEY_LEAST + " bytes by chance, the same for all gateways");
+        }
+        PeerTerms usual = PeerTerms.usual(at, seeds);
+        Rhythm rhythm = new Rhythm(from.span("period", usual.rhythm().period(), Span.ofMillis(10), LONGEST),
+            from.span("answerTime", usual.rhythm().answerTime(), Span.ofMillis(1), LONGEST), usual.rhythm().helpers(),
+            usual.rhythm().suspicion(), usual.rhythm().suspicionMost(), usual.rhythm().tells(),
+            from.whole("most", usual.rhythm().membersMost(), 2, 65_535));
+        if (!rhythm.answerTime().times(2).isShorterThan(rhythm.period())) {
+            from.wrong("answerTime", "leaves no time in a period to ask others", "make it less than half of the period");
+        }
+        PeerTerms terms = new PeerTerms(at, told, seeds, keys, rhythm, from.flag("learn", usual.learns()),
+            from.span("freshFor", usual.freshFor(), Span.ZERO, LONGEST), usual.ration(), usual.patience());
+        from.end();
+        return terms;
+    }
+
+    private static Address.Udp udp(Section from, String key, String text, Address.Udp otherwise) {
+        try {
+            return text == null ? otherwise : Address.Udp.parse(text);
+        } catch (IllegalArgumentException e) {
+            from.wrong(key, e.getMessage(), "write udp:127.0.0.1:7001");
+            return otherwise;
+        }
+    }
+
+    /** @throws IOException also for a key that is too short, with the file's name */
+    static List<byte[]> keys(List<Path> files) throws IOException {
+        List<byte[]> keys = new ArrayList<>();
+        for (Path file : files) {
+            if (!Files.isRegularFile(file)) {
+                throw new IOException(file + ": no such file");
+            }
+            byte[] key = Files.readString(file, StandardCharsets.ISO_8859_1).strip().getBytes(StandardCharsets.ISO_8859_1);
+            if (key.length < Seal.KEY_LEAST) {
+                throw new IOException(file + " holds " + key.length + " bytes, too few for a key");
+            }
+            keys.add(key);
+        }
+        return keys;
     }
 
     /** Where a registry is; faults are collected. */
--- a/src/main/java/flintlead/day/Day.java
+++ b/src/main/java/flintlead/day/Day.java
@@ -8,11 +8,16 @@
 import flintlead.front.FrontBounds;
 import flintlead.gateway.Counts;
 import flintlead.gateway.Flintlead;
+import flintlead.gateway.Taker;
 import flintlead.gateway.Terms;
 import flintlead.ids.Ids;
+import flintlead.learn.Fact;
 import flintlead.link.HostSpec;
 import flintlead.loop.Address;
 import flintlead.loop.Place;
+import flintlead.peers.OfTaker;
+import flintlead.peers.PeerTerms;
+import flintlead.peers.Peers;
 import flintlead.port.Decider;
 import flintlead.port.HostEntry;
 import flintlead.port.TriggerType.Effect;
@@ -41,7 +46,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.ToIntFunction;
 import org.HdrHistogram.Histogram;
@@ -53,6 +60,7 @@
 
     private static final String PREFIX = "flintlead/hosts/";
     private static final Span SNAPSHOT_AGE = Span.ofMillis(3_600_000);
+    private static final int SEEDS = 3;
     private static final int STOP_STEPS = 200;
     private static final int ACCOUNT_MOST = 10_000_000;
     private static final Span RETRY_AFTER = Span.ofMillis(200);
@@ -132,6 +140,8 @@
     };
     private final Map<Long, StandIn> byNumber = new HashMap<>();
     private final Map<Long, String> functionNames = new HashMap<>();
+    private final Map<Integer, Address.Udp> seedPorts = new ConcurrentSkipListMap<>();
+    private final AtomicLong learnt = new AtomicLong();
     private Decider decider;
     private Chronicle chronicle;
     private Moment began;
@@ -297,7 +307,11 @@
         site.loop = whole.place(site.name, site.index % plan.halls());
         Flintlead.Builder builder = Flintlead.of(plan.terms().as(site.name, site.index, plan.gateways()))
             .seed(seed * 31 + site.index).on(site.loop);
+        builder = plan.peers() ? builder.withPeers() : builder;
         site.gateway = (decider == null ? builder : builder.decidedBy(decider)).start();
+        if (plan.peers()) {
+            keepCompany(site);
+        }
         if (registry == null) {
             List<HostSpec> now;
             synchronized (list) {
@@ -312,6 +326,49 @@
         site.up = true;
     }
 
+    /** Each start has a port of its own, as the one before may still be held; the first two are the seeds. */
+    private void keepCompany(Site site) throws IOException {
+        List<Address.Udp> seeds = new ArrayList<>(seedPorts.values());
+        PeerTerms terms = PeerTerms.usual(new Address.Udp("127.0.0.1", 0), seeds);
+        Taker[] taker = new Taker[1];
+        // Facts are asked for after the taker is here, as both come in events of one place, one after the other.
+        site.gateway.withTaker(here -> taker[0] = here);
+        Peers.Gateway late = new Peers.Gateway() {
+            @Override
+            public void heard(int index, byte[] word) {
+                taker[0].heard(index, word);
+            }
+
+            @Override
+            public List<Fact> facts() {
+                return new OfTaker(taker[0], any -> { }).facts();
+            }
+
+            @Override
+            public void learnt(List<Fact> facts) {
+                learnt.addAndGet(facts.size());
+                new OfTaker(taker[0], any -> { }).learnt(facts);
+            }
+
+            @Override
+            public void gateways(int there) {
+                taker[0].gatewaysAre(there);
+            }
+
+            @Override
+            public void say(String line) {
+                // The day is judged by what went over the wires.
+            }
+        };
+        Peers.open(site.loop, terms, "gw-" + site.index, site.index, whole.epochMs(), late, seed * 13 + site.index + 1,
+            peers -> {
+                new OfTaker(taker[0], any -> { }).join(peers);
+                if (site.index < SEEDS) {
+                    seedPorts.put(site.index, peers.address());
+                }
+            });
+    }
+
     /** Where the first gateway's clients come in. */
     public Address front() {
         return sites.get(0).front;
@@ -346,6 +403,7 @@
                 counts.outcomes().forEach((outcome, n) -> counted.merge("dispatch " + outcome, n, Long::sum));
             }
         }
+        counted.put("facts learnt", learnt.get());
         Result[] result = new Result[1];
         on(clients, () -> on(world, () -> {
             if (chronicle != null) {
--- a/src/main/java/flintlead/front/ClientConnection.java
+++ b/src/main/java/flintlead/front/ClientConnection.java
@@ -189,8 +189,14 @@
                 case "invoke" -> invoke(message.id(), ask(message.id(), params, timeout), outlet);
                 case "cancel" -> cancel(message.id(), params, outlet);
                 case "ping" -> outlet.done(Frame.result(outlet.buffer(), message.id()));
-                default -> throw new RpcException(RpcException.METHOD_NOT_FOUND, "there is no method '"
-                    + message.method() + "'; there are invoke, cancel and ping", message.id());
+                default -> {
+                    byte[] json = front.taker.answer(message.method());
+                    if (json == null) {
+                        throw new RpcException(RpcException.METHOD_NOT_FOUND, "there is no method '"
+                            + message.method() + "'; there are invoke, cancel and ping", message.id());
+                    }
+                    outlet.done(Frame.result(outlet.buffer(), message.id()).raw(message.method(), json));
+                }
             }
         } catch (RpcException e) {
             error(outlet, e);
--- a/src/main/java/flintlead/gateway/Core.java
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -75,13 +75,14 @@
     private final Tally tally = new Tally();
     private final String tokenStem;
     private long nextInvocation;
+    private Taker.Company company;
     private boolean sweeping;
     private boolean stopping;
     private boolean closed;
     private Runnable whenEmpty;
 
     Core(Terms terms, Loop loop, Transport transport, Intake.Bounds bounds, LinkBounds linkBounds, long seed,
-         Logger log, Decider decider) {
+         Logger log, Decider decider, boolean peers) {
         this.terms = terms;
         this.loop = loop;
         this.transport = transport;
@@ -92,7 +93,7 @@
         this.intake = new Intake(bounds, new Random(random.nextLong()));
         this.ledger = new Ledger<>(terms.rules().answerSlack(), words -> log.error("ledger: {}", words));
         this.tokenStem = terms.gateway() + "-" + Long.toString(random.nextLong() >>> 1, 36) + "-";
-        this.dispatcher = decider.decide(this, terms.deployment(), random.nextLong());
+        this.dispatcher = decider.decide(this, terms.deployment(peers), random.nextLong());
     }
 
     Loop loop() {
@@ -480,12 +481,24 @@
 
     @Override
     public void tell(int gateway, byte[] words) {
-        // Terms say that there are no messages between gateways.
+        if (company != null) {
+            company.tell(gateway, words);
+        }
     }
 
     @Override
     public void tellAll(byte[] words) {
-        // As for tell.
+        if (company != null) {
+            company.tellAll(words);
+        }
+    }
+
+    void company(Taker.Company others) {
+        company = others;
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
     }
 
     @Override
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -9,15 +9,18 @@
 import flintlead.loop.Transport;
 import flintlead.netty.NettyLoop;
 import flintlead.port.Decider;
+import flintlead.port.Dispatcher;
 import flintlead.port.Outcome;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,6 +47,7 @@
         private Transport transport;
 
         private Decider decider = Control::new;
+        private boolean peers;
 
         private Builder(Terms terms) {
             this.terms = terms;
@@ -71,6 +75,12 @@
             return this;
         }
 
+        /** There are others that its decisions may tell of what they see; see {@link Taker#company}. */
+        public Builder withPeers() {
+            this.peers = true;
+            return this;
+        }
+
         /** A loop and transport to live on, which stay their owner's; by default a thread and sockets of its own. */
         public <L extends Loop & Transport> Builder on(L world) {
             this.loop = world;
@@ -101,7 +111,7 @@
         loop = own != null ? own : builder.loop;
         Transport transport = own != null ? own : builder.transport;
         core = new Core(builder.terms, loop, transport, builder.bounds, builder.linkBounds, builder.seed, log,
-            builder.decider);
+            builder.decider, builder.peers);
         taker = new TakerOfCore(transport);
     }
 
@@ -252,6 +262,7 @@
 
     private final class TakerOfCore implements Taker {
         private final Transport transport;
+        private final Map<String, Supplier<byte[]>> questions = new HashMap<>();
 
         TakerOfCore(Transport transport) {
             this.transport = transport;
@@ -308,6 +319,42 @@
             core.hostsAre(Core.checked(list));
         }
 
+        @Override
+        public void company(Company others) {
+            core.company(others);
+        }
+
+        @Override
+        public void heard(int gateway, byte[] words) {
+            core.dispatcher().heard(gateway, words);
+        }
+
+        @Override
+        public void gatewaysAre(int there) {
+            core.dispatcher().gatewaysAre(there);
+        }
+
+        @Override
+        public void learned(long host, long function, int copies, Span age) {
+            core.dispatcher().learned(host, function, copies, age);
+        }
+
+        @Override
+        public void teach(Dispatcher.Pupil pupil) {
+            core.dispatcher().teach(pupil);
+        }
+
+        @Override
+        public void answers(String question, Supplier<byte[]> json) {
+            questions.put(question, json);
+        }
+
+        @Override
+        public byte[] answer(String question) {
+            Supplier<byte[]> answer = questions.get(question);
+            return answer == null ? null : answer.get();
+        }
+
         @Override
         public void add(Front front) {
             fronts.add(front);
--- a/src/main/java/flintlead/gateway/Taker.java
+++ b/src/main/java/flintlead/gateway/Taker.java
@@ -4,10 +4,12 @@
 import flintlead.link.HostSpec;
 import flintlead.loop.Loop;
 import flintlead.loop.Transport;
+import flintlead.port.Dispatcher;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** The gateway as a front sees it, on the gateway's loop only. */
 public interface Taker {
@@ -45,6 +47,34 @@
     /** The whole list of hosts. */
     void hosts(List<HostSpec> list);
 
+    /** Who carries words to other gateways' decisions; null for nobody. */
+    void company(Company others);
+
+    /** Words of another gateway's decisions. */
+    void heard(int gateway, byte[] words);
+
+    /** So many gateways live or may live. */
+    void gatewaysAre(int there);
+
+    /** Another gateway saw copies stand, so long ago. */
+    void learned(long host, long function, int copies, Span age);
+
+    /** What the decisions have seen themselves. */
+    void teach(Dispatcher.Pupil pupil);
+
+    /** Other gateways, as far as the decisions speak with them. */
+    interface Company {
+        void tell(int gateway, byte[] words);
+
+        void tellAll(byte[] words);
+    }
+
+    /** Answers a question that a front may be asked, with a member of JSON; in place of what answered it before. */
+    void answers(String question, Supplier<byte[]> json);
+
+    /** The answer to such a question; null where nobody gives one. */
+    byte[] answer(String question);
+
     /** A front that is to be told of the gateway's end. */
     void add(Front front);
 
--- a/src/main/java/flintlead/gateway/Terms.java
+++ b/src/main/java/flintlead/gateway/Terms.java
@@ -120,13 +120,13 @@
         return functions.isEmpty() ? trigger.footprint() : functions.getOrDefault(function, trigger.footprint());
     }
 
-    Deployment deployment() {
+    Deployment deployment(boolean peers) {
         List<TriggerType> types = triggerTypes.stream().map(each -> new TriggerType(each.latencyObjective(),
             each.billedValue(), each.effect(), each.group(), each.window(), false)).toList();
         return new Deployment(index, gateways, zone, TICK, false, types,
             customers.stream().map(Customer::perSecond).toList(), rules.answerSlack(), Span.ZERO, rules.coldFrom(),
             rules.warmAfter(), rules.fallMultiple(), rules.overloadFor(), hosts.dispatchCap(), true,
-            hosts.secondCopies(), true, false, true, RETRY_MOST, hosts.loadsWhenAbsent(), hosts.orders(),
+            hosts.secondCopies(), true, peers, true, RETRY_MOST, hosts.loadsWhenAbsent(), hosts.orders(),
             hosts.tellsWarm(), hosts.tellsCrowd(), hosts.idleLife(), hosts.loadWait(), rules.loadsWithin(),
             rules.freeLoads(), rules.loadShare(), hosts.reportNames());
     }
--- a/src/main/java/flintlead/lab/VirtualPlace.java
+++ b/src/main/java/flintlead/lab/VirtualPlace.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 
 /** One place of a {@link VirtualWorld}. */
@@ -161,6 +162,49 @@
         return listening;
     }
 
+    /** A lost message is lost; nobody sends it again. */
+    @Override
+    public Port open(Address.Udp at, BiConsumer<Address.Udp, byte[]> heard) throws IOException {
+        Address.Udp where = at.port() == 0 ? new Address.Udp(at.host(), world.nextPort++) : at;
+        VirtualPort before = world.ports.get(where);
+        if (before != null && !before.place.closed) {
+            throw new IOException("cannot take datagrams at " + where + ": in use");
+        }
+        VirtualPort port = new VirtualPort(this, heard);
+        world.ports.put(where, port);
+        return new Port() {
+            @Override
+            public Address.Udp address() {
+                return where;
+            }
+
+            @Override
+            public void send(Address.Udp to, byte[] message) {
+                VirtualPort there = world.ports.get(to);
+                Wiring.Way way = there == null ? null : world.wiring.way(VirtualPlace.this, there.place);
+                double loss = way == null ? 1 : Math.max(world.network.loss(), way.loss);
+                if (closed || dark || way == null || way.cut || loss > 0 && world.random.nextDouble() < loss) {
+                    return;
+                }
+                byte[] copy = message.clone();
+                world.set(now().plus(way(there.place)), Kind.BYTES, there.place, () -> {
+                    if (!there.place.dark && world.ports.get(to) == there) {
+                        world.saw(copy.length, copy.length == 0 ? 0 : copy[0]);
+                        there.heard.accept(where, copy);
+                    }
+                });
+            }
+
+            @Override
+            public void close() {
+                world.ports.remove(where, port);
+            }
+        };
+    }
+
+    /** Who takes datagrams. */
+    record VirtualPort(VirtualPlace place, BiConsumer<Address.Udp, byte[]> heard) { }
+
     void gone(VirtualStream stream) {
         streams.remove(stream);
     }
--- a/src/main/java/flintlead/lab/VirtualWorld.java
+++ b/src/main/java/flintlead/lab/VirtualWorld.java
@@ -41,6 +41,7 @@
     final Map<Address, VirtualListening> listening = new HashMap<>();
     /** Who last listened at an address: a machine without power does not even refuse. */
     final Map<Address, VirtualPlace> homes = new HashMap<>();
+    final Map<Address.Udp, VirtualPlace.VirtualPort> ports = new HashMap<>();
     final Wiring wiring = new Wiring();
     int nextPort = 20_000;
     private final Map<String, VirtualDisk> disks = new HashMap<>();
--- a/src/main/java/flintlead/loop/Address.java
+++ b/src/main/java/flintlead/loop/Address.java
@@ -25,6 +25,23 @@
         }
     }
 
+    /** A UDP port, for datagrams only. */
+    record Udp(String host, int port) implements Address {
+        @Override
+        public String toString() {
+            return "udp:" + (host.contains(":") ? "[" + host + "]" : host) + ":" + port;
+        }
+
+        /** @throws IllegalArgumentException with the text and what is wrong with it */
+        public static Udp parse(String text) {
+            if (!text.startsWith("udp:")) {
+                throw new IllegalArgumentException("'" + text + "': expected udp:ADDRESS:PORT");
+            }
+            Tcp same = (Tcp) Address.parse("tcp:" + text.substring("udp:".length()));
+            return new Udp(same.host(), same.port());
+        }
+    }
+
     /** @throws IllegalArgumentException with the text and what is wrong with it */
     static Address parse(String text) {
         if (text.startsWith("unix:")) {
--- a/src/main/java/flintlead/member/Letter.java
+++ b/src/main/java/flintlead/member/Letter.java
@@ -28,16 +28,23 @@
         /** A part of all. */
         PAGE,
         /** For the decisions. */
-        WORD
+        WORD,
+        /** Asks for a page of what another has learnt. */
+        QUESTION,
+        /** Such a page. */
+        LESSON
     }
 
+    /** What {@code Gateway.tell} allows. */
     public static final int WORD_MOST = 256;
+    public static final int LESSON_MOST = 960;
 
     /** @throws IllegalArgumentException when a word is longer than the port allows */
     public Letter {
         news = List.copyOf(news);
-        if (word.length > WORD_MOST) {
-            throw new IllegalArgumentException("a word of " + word.length + " bytes; at most " + WORD_MOST + " may be told");
+        int most = kind == Kind.LESSON ? LESSON_MOST : WORD_MOST;
+        if (word.length > most) {
+            throw new IllegalArgumentException("a word of " + word.length + " bytes; at most " + most + " may be told");
         }
     }
 
--- a/src/main/java/flintlead/member/Swim.java
+++ b/src/main/java/flintlead/member/Swim.java
@@ -32,8 +32,8 @@
         /** Something has changed, and why. {@code before} is null for one that was not known. */
         void changed(Member before, Member now, String why);
 
-        /** A word for the decisions. */
-        void word(Member from, byte[] word);
+        /** A word, a question or a lesson, from a member that is known. */
+        void word(Member from, Kind kind, byte[] word);
     }
 
     /** What has been counted. */
@@ -329,9 +329,9 @@
             case PAGE -> {
                 // Its news are all.
             }
-            case WORD -> {
+            case WORD, QUESTION, LESSON -> {
                 if (from != null) {
-                    carrier.word(from, letter.word());
+                    carrier.word(from, letter.kind(), letter.word());
                 }
             }
         }
@@ -406,6 +406,16 @@
         return false;
     }
 
+    /** Sends a question or a lesson to a member by name; false where it is not there. */
+    public boolean say(String name, Kind kind, byte[] word) {
+        Member to = members.get(name);
+        if (to == null || !to.isThere()) {
+            return false;
+        }
+        send(to.address(), new Letter(kind, ++numbers, self.name(), "", List.of(), word));
+        return true;
+    }
+
     private void send(Kind kind, Member to, long number, String about, List<Member> first) {
         int bytes = LetterCode.BYTES_MOST - LetterCode.head(self.name(), about, 0);
         List<Member> news = new ArrayList<>(first);
--- a/src/main/java/flintlead/netty/NettyLoop.java
+++ b/src/main/java/flintlead/netty/NettyLoop.java
@@ -9,14 +9,19 @@
 import flintlead.time.Span;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -32,6 +37,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -246,6 +252,49 @@
         };
     }
 
+    @Override
+    public Port open(Address.Udp at, BiConsumer<Address.Udp, byte[]> heard) throws IOException {
+        ChannelFuture bound = new Bootstrap().group(thread).channelFactory(NioDatagramChannel::new)
+            .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                @Override
+                protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+                    byte[] message = new byte[packet.content().readableBytes()];
+                    packet.content().readBytes(message);
+                    InetSocketAddress from = packet.sender();
+                    event(() -> heard.accept(new Address.Udp(from.getAddress().getHostAddress(), from.getPort()), message),
+                        false);
+                }
+
+                @Override
+                public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                    // A peer whose port is closed is told of by the kernel; whoever probes it finds out.
+                    log.debug("datagrams at {}: {}", at, cause.getMessage());
+                }
+            }).bind(new InetSocketAddress(at.host(), at.port())).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot take datagrams at " + at + ": " + bound.cause().getMessage(), bound.cause());
+        }
+        Channel channel = bound.channel();
+        InetSocketAddress where = (InetSocketAddress) channel.localAddress();
+        return new Port() {
+            @Override
+            public Address.Udp address() {
+                return new Address.Udp(where.getAddress().getHostAddress(), where.getPort());
+            }
+
+            @Override
+            public void send(Address.Udp to, byte[] message) {
+                channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message),
+                    new InetSocketAddress(to.host(), to.port())));
+            }
+
+            @Override
+            public void close() {
+                channel.close();
+            }
+        };
+    }
+
     private static SocketAddress socketAddress(Address address) {
         if (address instanceof Address.Unix unix) {
             return UnixDomainSocketAddress.of(unix.path());
--- a/src/main/java/flintlead/port/Dispatcher.java
+++ b/src/main/java/flintlead/port/Dispatcher.java
@@ -26,4 +26,21 @@
     /** A message from another gateway; decisions that tell nothing need not listen. */
     default void heard(int gateway, byte[] words) {
     }
+
+    /** So many gateways live or may live, as far as this one knows. */
+    default void gatewaysAre(int there) {
+    }
+
+    /** Another gateway saw itself that copies stand there, that long ago. Told after a start, once. */
+    default void learned(long host, long function, int copies, Span age) {
+    }
+
+    /** What these decisions have seen themselves, for a gateway that has just begun. */
+    default void teach(Pupil pupil) {
+    }
+
+    /** Hears what is taught. */
+    interface Pupil {
+        void stands(long host, long function, int copies, Span age);
+    }
 }
--- a/src/main/java/flintlead/state/Mark.java
+++ b/src/main/java/flintlead/state/Mark.java
@@ -10,6 +10,8 @@
     /** Instances believed to stand there. */
     public int instances;
     public Moment usedAt = new Moment(0);
+    /** Whether another gateway saw it and this one did not. */
+    public boolean toldOf;
     /** Own dispatches out, and how many of them were sent without believing the host warm. */
     public int inFlight;
     public int loading;
--- a/src/test/java/flintlead/gateway/ScriptedHost.java
+++ b/src/test/java/flintlead/gateway/ScriptedHost.java
@@ -35,6 +35,8 @@
     public final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
     public final BlockingQueue<Long> cancels = new LinkedBlockingQueue<>();
     public final List<String> ran = new CopyOnWriteArrayList<>();
+    /** The functions of what ran, in its order. */
+    public final List<String> functions = new CopyOnWriteArrayList<>();
     private final List<Stream> streams = new CopyOnWriteArrayList<>();
     private Transport.Listening listening;
     private Address address;
@@ -222,6 +224,7 @@
                         Got one = new Got(stream, message.id(), message.method(), message.params());
                         if (message.method().equals("run")) {
                             ran.add(message.params().string("token"));
+                            functions.add(message.params().string("function"));
                         }
                         if (face() == Face.RESETS) {
                             stream.abort();
--- a/src/test/java/flintlead/member/MemberFleet.java
+++ b/src/test/java/flintlead/member/MemberFleet.java
@@ -85,7 +85,7 @@
         }
 
         @Override
-        public void word(Member from, byte[] word) {
+        public void word(Member from, Letter.Kind kind, byte[] word) {
             changes.add("word of " + from.name() + " " + word.length);
         }
     }
--- a/src/test/java/flintlead/member/SwimTest.java
+++ b/src/test/java/flintlead/member/SwimTest.java
@@ -221,7 +221,7 @@
             }
 
             @Override
-            public void word(Member from, byte[] word) {
+            public void word(Member from, Letter.Kind kind, byte[] word) {
                 // None come.
             }
         }, new Random(1));
--- /dev/null
+++ b/src/test/java/flintlead/peers/PeersTest.java
@@ -0,0 +1,221 @@
+package flintlead.peers;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.daemon.Daemon;
+import flintlead.daemon.Installation;
+import flintlead.gateway.Answer;
+import flintlead.gateway.Ask;
+import flintlead.gateway.ScriptedHost;
+import flintlead.link.HostSpec;
+import flintlead.loop.Address;
+import flintlead.member.Member;
+import flintlead.netty.NettyLoop;
+import flintlead.port.HostEntry;
+import flintlead.yaml.YamlException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Gateways on real sockets: they meet, miss the dead, and a fresh one learns where copies stand. */
+@Timeout(60)
+class PeersTest {
+
+    private static final int FUNCTIONS = 24;
+    private static final Duration SOON = Duration.ofSeconds(20);
+
+    private final List<Daemon> daemons = new ArrayList<>();
+    private ScriptedHost[] hosts;
+
+    @TempDir
+    Path folder;
+
+    @BeforeEach
+    void startHosts() throws Exception {
+        hosts = new ScriptedHost[4];
+        for (int i = 0; i < hosts.length; i++) {
+            hosts[i] = new ScriptedHost("w-" + i, new Address.Tcp("127.0.0.1", 0));
+            hosts[i].echoes = true;
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        daemons.forEach(daemon -> daemon.gateway().kill());
+        for (ScriptedHost host : hosts) {
+            host.close();
+        }
+    }
+
+    private Daemon gateway(String name, int index, String seeds, String more) throws Exception {
+        Daemon daemon = Daemon.start(Installation.parse("f.yaml", """
+            listen: ["tcp:127.0.0.1:0"]
+            gateway: {name: %s, index: %d, of: 3}
+            stopGrace: 100ms
+            triggerTypes:
+              - {name: check, latencyObjective: 750ms, clientTimeout: 3s, billedValue: 3, effect: idempotent}
+            members: {listen: "udp:127.0.0.1:0", seeds: [%s], period: 200ms, answerTime: 60ms%s}
+            """.formatted(name, index, seeds, more)));
+        daemons.add(daemon);
+        return daemon;
+    }
+
+    private static String seed(Daemon daemon) {
+        return '"' + daemon.peers().address().toString() + '"';
+    }
+
+    private static <T> T on(Daemon daemon, java.util.function.Function<Peers, T> ask) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        daemon.gateway().withTaker(taker -> answer.complete(ask.apply(daemon.peers())));
+        return answer.join();
+    }
+
+    private static Member.State state(Daemon at, String name) {
+        return on(at, peers -> peers.others().stream().filter(each -> each.name().equals(name)).map(Member::state)
+            .findFirst().orElse(null));
+    }
+
+    private HostSpec spec(int host) {
+        return HostSpec.ready(hosts[host].name, hosts[host].address());
+    }
+
+    private static void invokeAll(Daemon daemon) {
+        for (int i = 0; i < FUNCTIONS; i++) {
+            assertEquals(Answer.Kind.SUCCEEDED, daemon.gateway().invoke(Ask.of("fn-" + i, "check")).join().kind());
+        }
+    }
+
+    private int[] reached() {
+        int[] runs = new int[hosts.length];
+        for (int i = 0; i < hosts.length; i++) {
+            runs[i] = hosts[i].ran.size();
+        }
+        return runs;
+    }
+
+    @Test
+    void aFreshGatewaySendsWhereAnotherSawCopiesAndNotToADrainedHost() throws Exception {
+        Daemon old = gateway("gw-0", 0, "", ", freshFor: 50ms");
+        old.gateway().hosts(List.of(spec(0), spec(3)));
+        invokeAll(old);
+        int[] seen = reached();
+        assertEquals(FUNCTIONS, seen[0] + seen[3]);
+        assertTrue(seen[0] > 0 && seen[3] > 0);
+
+        List<String> standing = List.copyOf(hosts[0].functions);
+
+        // Minutes later in the life of a fleet: two more hosts, one of the old ones drains, and two fresh gateways.
+        List<HostSpec> now = List.of(spec(0), spec(1), spec(2), spec(3).with(HostEntry.State.DRAINING));
+        Daemon blank = gateway("gw-1", 1, seed(old), ", learn: false, freshFor: 1h");
+        blank.gateway().hosts(now);
+        invokeAll(blank);
+        int coldBlank = elsewhere(standing, 1);
+
+        Daemon taught = gateway("gw-2", 2, seed(old), "");
+        taught.gateway().hosts(now);
+        await().atMost(SOON).until(() -> on(taught, Peers::counts).learning().startsWith("all learnt"));
+        // What stood at the drained host is no fact any more: the old one was not told, the taught one knows better.
+        assertTrue(on(taught, Peers::counts).learnt() >= standing.size(), on(taught, Peers::counts).learning());
+        invokeAll(taught);
+        int coldTaught = elsewhere(standing, 2) - coldBlank;
+
+        assertEquals(seen[3], reached()[3], "nothing to the host that drains, whatever others saw there");
+        // Cold loads of functions that stand at the first host, both counted in this one run.
+        assertTrue(coldBlank >= standing.size() / 3, "a blank start loads anew: " + coldBlank + " of " + standing.size());
+        assertEquals(0, coldTaught, "the taught one goes where copies stand");
+    }
+
+    /** Runs of those functions, beside the first of each, that were not at the first host. */
+    private int elsewhere(List<String> functions, int runsEach) {
+        int at = 0;
+        for (String function : functions) {
+            at += (int) hosts[0].functions.stream().filter(function::equals).count() - 1;
+        }
+        return functions.size() * runsEach - at;
+    }
+
+    @Test
+    void theyMeetMissTheDeadAndHearOfThoseWhoLeave() throws Exception {
+        Daemon first = gateway("gw-0", 0, "", "");
+        Daemon second = gateway("gw-1", 1, seed(first), "");
+        Daemon third = gateway("gw-2", 2, seed(first), "");
+        for (Daemon each : daemons) {
+            await().atMost(SOON).until(() -> on(each, Peers::others).stream()
+                .filter(member -> member.state() == Member.State.ALIVE).count() == 2);
+        }
+        third.stop();
+        await().atMost(SOON).until(() -> state(first, "gw-2") == Member.State.LEFT);
+        CompletableFuture<Void> killed = new CompletableFuture<>();
+        second.gateway().withTaker(taker -> {
+            second.peers().close();
+            killed.complete(null);
+        });
+        killed.join();
+        await().atMost(SOON).until(() -> state(first, "gw-1") == Member.State.DEAD);
+    }
+
+    @Test
+    void strangersWithoutTheKeyAreNotHeardAndKeysChangeInService() throws Exception {
+        Path one = folder.resolve("one");
+        Path two = folder.resolve("two");
+        Files.writeString(one, "the first key, long enough\n");
+        Files.writeString(two, "the second key, long enough\n");
+        Daemon first = gateway("gw-0", 0, "", ", keyFiles: [\"" + one + "\", \"" + two + "\"]");
+        Daemon second = gateway("gw-1", 1, seed(first), ", keyFiles: [\"" + two + "\"]");
+        Daemon stranger = gateway("gw-2", 2, seed(first), "");
+        await().atMost(SOON).until(() -> on(first, Peers::counts).unsealed() > 0);
+        assertEquals(null, state(first, "gw-2"));
+        assertEquals(null, state(stranger, "gw-0"));
+        // The first still seals with the old key, which the second does not know.
+        assertEquals(null, state(second, "gw-0"));
+        CompletableFuture<Void> changed = new CompletableFuture<>();
+        first.gateway().withTaker(taker -> {
+            first.peers().keys(List.of("the second key, long enough".getBytes(java.nio.charset.StandardCharsets.US_ASCII)));
+            changed.complete(null);
+        });
+        changed.join();
+        await().atMost(SOON).until(() -> state(second, "gw-0") == Member.State.ALIVE);
+    }
+
+    @Test
+    void garbageIsCountedAndHurtsNothing() throws Exception {
+        Daemon first = gateway("gw-0", 0, "", "");
+        try (NettyLoop loop = new NettyLoop("garbage")) {
+            var port = loop.open(new Address.Udp("127.0.0.1", 0), (from, message) -> { });
+            loop.execute(() -> {
+                for (int i = 0; i < 50; i++) {
+                    byte[] garbage = new byte[i * 20];
+                    new java.util.Random(i).nextBytes(garbage);
+                    port.send(first.peers().address(), garbage);
+                }
+            });
+            await().atMost(SOON).until(() -> on(first, Peers::counts).malformed() >= 40);
+        }
+        Daemon second = gateway("gw-1", 1, seed(first), "");
+        await().atMost(SOON).until(() -> state(second, "gw-0") == Member.State.ALIVE);
+    }
+
+    @Test
+    void faultsInTheFileAreNamed() {
+        List<String> faults = assertThrows(YamlException.class, () -> Installation.parse("f.yaml", """
+            listen: ["tcp:127.0.0.1:0"]
+            triggerTypes: [{name: check}]
+            hosts: []
+            members: {listen: "tcp:127.0.0.1:1", seeds: ["udp:host:1"], keyFiles: ["/no/such"], answerTime: 900ms}
+            """)).faults();
+        for (String key : new String[] {"listen", "seeds", "keyFiles", "answerTime"}) {
+            assertTrue(faults.stream().anyMatch(fault -> fault.startsWith("f.yaml:4: members." + key)), key + " in " + faults);
+        }
+    }
+}
