Hosts changed in service as transactions; HAProxy's configuration taken over

Need: a running gateway's hosts could be changed only by a restart, with no check and no way back, and operators who come from HAProxy had to write their files anew.

flintlead.change: versions by digest, checks, steps of a bounded share, a record written before the first step, a watch that undoes when no host answers or answers are worse by three standard errors; control socket of its owner alone and bin/flintlead change. flintlead.haproxy: words, sections, inherited defaults, a gateway's file a backend, a report with each line once; bin/flintlead import haproxy.

ChangesTest: 500 histories with deaths at any write come to rest at a good version. ImporterTest: 4,000 texts by grammar and chance, every line accounted for.

--- /dev/null
+++ b/src/main/java/flintlead/cli/ChangeCommand.java
@@ -0,0 +1,62 @@
+package flintlead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import flintlead.loop.Address;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Changes a running gateway's hosts. */
+@Command(name = "change", mixinStandardHelpOptions = true, description = "Changes the hosts of a running gateway: plan FILE, apply"
+    + " FILE, status or undo. FILE has hosts: as the daemon's file has them; whatever else it says is not looked at.")
+final class ChangeCommand implements Callable<Integer> {
+
+    /** What can be asked. */
+    enum What { PLAN, APPLY, STATUS, UNDO }
+
+    @Parameters(index = "0", description = "plan, apply, status or undo.")
+    private What what;
+
+    @Parameters(index = "1", arity = "0..1", description = "The file with the hosts to be.")
+    private Path file;
+
+    @Option(names = "--at", required = true, description = "The gateway's control socket: unix:/path.")
+    private String at;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+        boolean needsFile = what == What.PLAN || what == What.APPLY;
+        if (needsFile != (file != null)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), needsFile ? what + " needs the file with the hosts to be"
+                : what + " takes no file");
+        }
+        Address address;
+        try {
+            address = Address.parse(at);
+        } catch (IllegalArgumentException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
+        }
+        try {
+            JsonNode answer = Question.ask(address, what.name().toLowerCase(java.util.Locale.ROOT), needsFile ? "hosts" : null,
+                needsFile ? Files.readString(file) : null);
+            JsonNode change = answer.path("result").path("change");
+            if (change.isMissingNode()) {
+                System.err.println(answer.path("error").path("message").asText());
+                return Commands.FAILED;
+            }
+            System.out.println(change.toPrettyString());
+            return 0;
+        } catch (IOException e) {
+            System.err.println(e.getMessage());
+            return Commands.FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/cli/Question.java
@@ -0,0 +1,104 @@
+package flintlead.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import flintlead.loop.Address;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.netty.NettyLoop;
+import flintlead.rpc.Frame;
+import flintlead.rpc.LineDecoder;
+import flintlead.rpc.RpcException;
+import flintlead.rpc.RpcReader;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** One question to a running gateway and its answer. */
+final class Question {
+
+    private static final int ANSWER_MOST = 4 << 20;
+    private static final int WAIT_SECONDS = 5;
+
+    private Question() {
+    }
+
+    /**
+     * Asks and waits.
+     *
+     * @param name of the one member of the params; null for none
+     * @return the whole answer
+     * @throws IOException when there is none in time, with why
+     */
+    static JsonNode ask(Address address, String method, String name, String value) throws IOException, InterruptedException {
+        try (NettyLoop loop = new NettyLoop("question")) {
+            CompletableFuture<byte[]> line = new CompletableFuture<>();
+            loop.execute(() -> {
+                Asking asking = new Asking(line, method, name, value);
+                asking.stream = loop.connect(address, asking);
+            });
+            return new ObjectMapper().readTree(line.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        } catch (TimeoutException e) {
+            throw new IOException("no answer from " + address + " in time");
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e);
+        }
+    }
+
+    /** One question and its answer. */
+    private static final class Asking implements StreamListener, LineDecoder.Sink {
+        private final CompletableFuture<byte[]> line;
+        private final LineDecoder decoder = new LineDecoder(ANSWER_MOST, this);
+        private final String method;
+        private final String name;
+        private final String value;
+        private Stream stream;
+
+        Asking(CompletableFuture<byte[]> line, String method, String name, String value) {
+            this.line = line;
+            this.method = method;
+            this.name = name;
+            this.value = value;
+        }
+
+        @Override
+        public void opened() {
+            Frame frame = Frame.request(stream.alloc().buffer(256), 1, method);
+            if (name != null) {
+                frame.put(name, value);
+            }
+            stream.write(frame.end());
+        }
+
+        @Override
+        public void received(ByteBuf bytes) {
+            decoder.feed(bytes, stream.alloc());
+        }
+
+        @Override
+        public void closed(String why) {
+            decoder.end();
+            line.completeExceptionally(new IllegalStateException(why));
+        }
+
+        @Override
+        public void line(ByteBuf bytes) {
+            try {
+                byte[] text = RpcReader.bytes(bytes);
+                if (text != null) {
+                    line.complete(text);
+                }
+            } catch (RpcException e) {
+                line.completeExceptionally(e);
+            }
+        }
+
+        @Override
+        public void tooLong(int most) {
+            line.completeExceptionally(new IllegalStateException("an answer of over " + most + " bytes"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/daemon/ControlSocket.java
@@ -0,0 +1,124 @@
+package flintlead.daemon;
+
+import flintlead.loop.Address;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.loop.Transport;
+import flintlead.rpc.Frame;
+import flintlead.rpc.Id;
+import flintlead.rpc.LineDecoder;
+import flintlead.rpc.Members;
+import flintlead.rpc.Message;
+import flintlead.rpc.RpcException;
+import flintlead.rpc.RpcReader;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Where an operator changes a running gateway: JSON-RPC 2.0 lines on a Unix socket that its owner alone may open. */
+final class ControlSocket {
+
+    private static final int FRAME_MOST = 4 << 20;
+    private static final int CONNECTIONS_MOST = 16;
+
+    private final HostChanges changes;
+    private final RpcReader reader = new RpcReader();
+    private final Set<Stream> streams = new HashSet<>();
+
+    private ControlSocket(HostChanges changes) {
+        this.changes = changes;
+    }
+
+    /** @throws IOException when the socket can't be bound or its mode not be set; then nothing listens */
+    static Transport.Listening open(Transport transport, Address.Unix at, HostChanges changes) throws IOException {
+        ControlSocket socket = new ControlSocket(changes);
+        Transport.Listening listening = transport.listen(at, stream -> socket.new Connection(stream));
+        try {
+            Files.setPosixFilePermissions(at.path(), PosixFilePermissions.fromString("rw-------"));
+        } catch (IOException e) {
+            listening.close();
+            throw e;
+        }
+        return listening;
+    }
+
+    private final class Connection implements StreamListener, LineDecoder.Sink {
+        private final Stream stream;
+        private final LineDecoder decoder = new LineDecoder(FRAME_MOST, this);
+
+        Connection(Stream stream) {
+            this.stream = stream;
+            if (streams.size() >= CONNECTIONS_MOST) {
+                stream.close();
+            } else {
+                streams.add(stream);
+            }
+        }
+
+        @Override
+        public void received(ByteBuf bytes) {
+            decoder.feed(bytes, stream.alloc());
+        }
+
+        @Override
+        public void closed(String why) {
+            decoder.end();
+            streams.remove(stream);
+        }
+
+        @Override
+        public void tooLong(int most) {
+            error(Id.NULL, RpcException.INVALID_REQUEST, "a request of over " + most + " bytes");
+        }
+
+        @Override
+        public void line(ByteBuf line) {
+            try {
+                byte[] text = RpcReader.bytes(line);
+                if (text != null) {
+                    message(reader.read(text));
+                }
+            } catch (RpcException e) {
+                error(e.id(), e.code(), e.getMessage());
+            }
+        }
+
+        private void message(Message message) {
+            if (message.isAnswer() || message.id() == null) {
+                return;
+            }
+            Members params = message.params() == null ? Members.NONE : message.params();
+            try {
+                byte[] answer = switch (message.method()) {
+                    case "plan" -> changes.plan(text(params));
+                    case "apply" -> changes.apply(text(params));
+                    case "undo" -> changes.undo();
+                    case "status" -> changes.status();
+                    default -> null;
+                };
+                if (answer == null) {
+                    error(message.id(), RpcException.METHOD_NOT_FOUND, "there are plan, apply, undo and status");
+                } else {
+                    stream.write(Frame.result(stream.alloc().buffer(256), message.id()).raw("change", answer).end());
+                }
+            } catch (IllegalArgumentException e) {
+                error(message.id(), RpcException.INVALID_PARAMS, e.getMessage());
+            }
+        }
+
+        private String text(Members params) {
+            String text = params.string("hosts");
+            if (text == null) {
+                throw new IllegalArgumentException("member 'hosts' must be a file's text with hosts:");
+            }
+            return text;
+        }
+
+        private void error(Id id, int code, String why) {
+            stream.write(Frame.error(stream.alloc().buffer(256), id == null ? Id.NULL : id, code, why).end());
+        }
+    }
+}
--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -2,10 +2,12 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import flintlead.change.Journal;
 import flintlead.front.ClientFront;
 import flintlead.gateway.Flintlead;
 import flintlead.gateway.Stopped;
 import flintlead.loop.Address;
+import flintlead.loop.Transport;
 import flintlead.member.Member;
 import flintlead.netty.NettyLoop;
 import flintlead.peers.OfTaker;
@@ -43,6 +45,7 @@
     private final NettyLoop loop;
     private final ExecutorService disk;
     private Peers peers;
+    private Transport.Listening control;
     private final List<Address> addresses = new ArrayList<>();
 
     private Daemon(Installation installation, Flintlead gateway, NettyLoop loop) {
@@ -63,12 +66,14 @@
             .links(installation.links()).on(loop);
         Flintlead gateway = (installation.peers() == null ? builder : builder.withPeers()).start();
         Daemon daemon = new Daemon(installation, gateway, loop);
-        if (installation.registry() == null) {
-            gateway.hosts(installation.hosts());
-        } else {
-            daemon.follow();
-        }
         try {
+            if (installation.registry() == null && installation.control() != null) {
+                daemon.takeChanges();
+            } else if (installation.registry() == null) {
+                gateway.hosts(installation.hosts());
+            } else {
+                daemon.follow();
+            }
             if (installation.peers() != null) {
                 daemon.keepCompany();
             }
@@ -95,6 +100,17 @@
             RegistryHosts.gateway(taker::heardAt, taker::ask, taker::hosts, log::warn), null).begin());
     }
 
+    /** The hosts may be changed in service; what the process before left goes before the file. */
+    private void takeChanges() throws IOException {
+        FolderDisk folder = installation.records() == null ? null : new FolderDisk(installation.records());
+        Journal.Record kept = HostChanges.kept(folder, log::warn);
+        CompletableFuture<HostChanges> begun = new CompletableFuture<>();
+        gateway.withTaker(taker -> begun.complete(new HostChanges(taker, HostChanges.version(installation.hosts()), kept,
+            installation.caution(), taker::counts, folder, disk, log::info)));
+        control = ControlSocket.open(loop, installation.control(), begun.join());
+        log.info("{} may be changed at {}", installation.terms().gateway(), installation.control());
+    }
+
     /** The other gateways: who they are, and what they have seen; asked for by {@code members} at any front. */
     private void keepCompany() throws IOException {
         CompletableFuture<OfTaker> taker = new CompletableFuture<>();
@@ -165,6 +181,9 @@
     }
 
     private void end() {
+        if (control != null) {
+            control.close();
+        }
         disk.shutdown();
         // Answers written in the last event leave when it ends; the thread goes after that.
         loop.execute(() -> loop.after(Span.ofMillis(1), loop::close));
--- a/src/main/java/flintlead/daemon/Installation.java
+++ b/src/main/java/flintlead/daemon/Installation.java
@@ -1,6 +1,7 @@
 package flintlead.daemon;
 
 import flintlead.admission.Intake;
+import flintlead.change.Caution;
 import flintlead.front.FrontBounds;
 import flintlead.gateway.Terms;
 import flintlead.ids.Ids;
@@ -36,11 +37,13 @@
  * @param snapshots the folder that the last good list is kept in; null for nowhere
  * @param peers how it keeps company with other gateways; null for alone
  * @param keyFiles of the letters between gateways, read again in service
+ * @param control where an operator changes the hosts in service; null for nowhere
+ * @param records the folder in which a change is written down before it is begun; null for nowhere
  * @param listen addresses at which clients come in
  */
 public record Installation(Terms terms, List<HostSpec> hosts, RegistryTerms registry, Path snapshots,
                            List<Address> listen, Intake.Bounds intake, FrontBounds front, LinkBounds links,
-                           Span stopGrace, PeerTerms peers, List<Path> keyFiles) {
+                           Span stopGrace, PeerTerms peers, List<Path> keyFiles, Address.Unix control, Path records, Caution caution) {
 
     private static final Span SHORTEST = new Span(1);
     private static final Span LONGEST = Span.ofMillis(3_600_000);
@@ -102,9 +105,56 @@
         Span grace = top.span("stopGrace", Span.ofMillis(5_000), Span.ZERO, LONGEST);
         List<Path> keyFiles = new ArrayList<>();
         PeerTerms peers = top.has("members") ? peers(top.section("members"), keyFiles) : null;
+        Address.Unix control = null;
+        Path records = null;
+        Caution caution = Caution.USUAL;
+        if (top.has("control")) {
+            Section from = top.section("control");
+            control = control(from);
+            if (fromRegistry) {
+                from.wrong("listen", "changes a list that the file holds, and hosts come from a registry", "change them there");
+            }
+            records = from.has("records") ? Path.of(from.text("records", ".")) : null;
+            if (records != null && !Files.isDirectory(records)) {
+                from.wrong("records", "'" + records + "' is no folder", "make it, or leave the key out");
+            }
+            caution = caution(from);
+            from.end();
+        }
         top.end();
         faults.throwIfAny();
-        return new Installation(terms, hosts, registry, snapshots, listen, intake, front, links, grace, peers, keyFiles);
+        return new Installation(terms, hosts, registry, snapshots, listen, intake, front, links, grace, peers, keyFiles, control,
+            records, caution);
+    }
+
+    private static Address.Unix control(Section from) {
+        String text = from.text("listen", null);
+        try {
+            if (text != null && Address.parse(text) instanceof Address.Unix unix) {
+                return unix;
+            }
+        } catch (IllegalArgumentException e) {
+            // Told below: whatever it is, it is no socket of the owner's.
+        }
+        from.wrong("listen", "'" + text + "' is no Unix socket", "write unix:/run/flintlead-control.sock");
+        return null;
+    }
+
+    private static Caution caution(Section from) {
+        Caution usual = Caution.USUAL;
+        return new Caution(from.number("step", usual.step(), 0.001, 1), from.span("settle", usual.settle(), Span.ZERO, LONGEST),
+            from.span("watch", usual.watch(), Span.ZERO, LONGEST), from.span("dead", usual.dead(), Span.ofMillis(20), LONGEST),
+            from.number("worse", usual.worse(), 0, 1), from.whole("least", usual.least(), 1, MANY),
+            from.number("certainty", usual.certainty(), 0, 100));
+    }
+
+    /** The hosts of a text that may say other things as well, which are not looked at. */
+    static List<HostSpec> hostsOf(String name, String text) throws YamlException {
+        Faults faults = new Faults(name);
+        Section top = Section.read(text, faults);
+        List<HostSpec> hosts = hosts(top);
+        faults.throwIfAny();
+        return hosts;
     }
 
     /** The company of other gateways; faults are collected. */
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -344,6 +344,11 @@
             core.dispatcher().teach(pupil);
         }
 
+        @Override
+        public Counts counts() {
+            return count();
+        }
+
         @Override
         public void answers(String question, Supplier<byte[]> json) {
             questions.put(question, json);
--- a/src/main/java/flintlead/gateway/Taker.java
+++ b/src/main/java/flintlead/gateway/Taker.java
@@ -69,6 +69,9 @@
         void tellAll(byte[] words);
     }
 
+    /** What has been counted so far. */
+    Counts counts();
+
     /** Answers a question that a front may be asked, with a member of JSON; in place of what answered it before. */
     void answers(String question, Supplier<byte[]> json);
 
--- /dev/null
+++ b/src/test/java/flintlead/change/ChangesTest.java
@@ -0,0 +1,332 @@
+package flintlead.change;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.change.Changes.Stage;
+import flintlead.change.Version.Line;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Consumer;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** A change is whole or undone, whatever happens when; what a dead process leaves is a version that was good. */
+class ChangesTest {
+
+    private static final Caution CAUTION = new Caution(0.25, Span.ofMillis(1_000), Span.ofMillis(5_000), Span.ofMillis(500), 0.02, 50, 3);
+
+    private static Line line(int n, boolean drains) {
+        return new Line("w-" + n, List.of("tcp:127.0.0.1:" + (1_000 + n)), n % 3, 0, 0, 1, drains);
+    }
+
+    private static Version version(int from, int to) {
+        List<Line> lines = new ArrayList<>();
+        for (int i = from; i < to; i++) {
+            lines.add(line(i, false));
+        }
+        return new Version(lines);
+    }
+
+    /** A gateway by hand, with a disk that writes when it is told to. */
+    private static final class Hand implements Changes.Gateway, Journal {
+        final List<Version> listed = new ArrayList<>();
+        final List<String> said = new ArrayList<>();
+        final Deque<Runnable> writes = new ArrayDeque<>();
+        Record kept;
+        boolean broken;
+        boolean lives = true;
+        long succeeded;
+        long failed;
+        Moment now = new Moment(1_000_000);
+        Moment alarm;
+        Changes changes;
+
+        Hand(Version good) {
+            changes = new Changes(good, CAUTION, this, this, () -> new Reading(succeeded, failed, lives));
+        }
+
+        @Override
+        public void write(Record record, Consumer<Boolean> then) {
+            boolean fails = broken;
+            writes.add(() -> {
+                kept = fails ? kept : record;
+                then.accept(!fails);
+            });
+        }
+
+        @Override
+        public void list(Version version) {
+            listed.add(version);
+        }
+
+        @Override
+        public void wakeAt(Moment when) {
+            alarm = when;
+        }
+
+        @Override
+        public void say(String line) {
+            said.add(line);
+        }
+
+        void written() {
+            while (!writes.isEmpty()) {
+                writes.poll().run();
+            }
+        }
+
+        void run(Span span) {
+            Moment end = now.plus(span);
+            written();
+            while (alarm != null && !alarm.isAfter(end)) {
+                now = Moment.later(now, alarm);
+                alarm = null;
+                changes.wake(now);
+                written();
+            }
+            now = end;
+        }
+    }
+
+    @Test
+    void aGoodChangeGoesInStepsAndIsConfirmed() {
+        Hand hand = new Hand(version(0, 12));
+        Version to = version(6, 18);
+        assertEquals(List.of(), hand.changes.apply(to, hand.now));
+        assertEquals(List.of(), hand.listed, "nothing before it is written down");
+        hand.run(Span.ofMillis(30_000));
+        assertEquals(Stage.STEADY, hand.changes.stage());
+        assertEquals(to, hand.changes.good());
+        assertEquals(to, hand.listed.get(hand.listed.size() - 1));
+        assertEquals(new Journal.Record(to, null), hand.kept);
+        assertEquals(18, hand.listed.get(0).lines().size(), "first all that only adds");
+        assertTrue(hand.changes.last().contains("confirmed"));
+    }
+
+    @Test
+    void aListWithoutALiveHostIsUndoneWithinSeconds() {
+        Version good = version(0, 4);
+        Hand hand = new Hand(good);
+        hand.changes.apply(version(10, 14), hand.now);
+        hand.run(Span.ofMillis(100));
+        hand.lives = false;
+        Moment died = hand.now;
+        while (hand.changes.stage() != Stage.STEADY && hand.now.since(died).isShorterThan(Span.ofMillis(10_000))) {
+            hand.run(Span.ofMillis(50));
+        }
+        assertTrue(hand.now.since(died).isShorterThan(Span.ofMillis(1_000)), "took " + hand.now.since(died));
+        assertEquals(good, hand.changes.now());
+        assertEquals(good, hand.listed.get(hand.listed.size() - 1));
+        assertTrue(hand.changes.last().contains("no host"));
+    }
+
+    @Test
+    void worseAnswersUndoAndUsualOnesDoNot() {
+        for (boolean worse : new boolean[] {true, false}) {
+            Hand hand = new Hand(version(0, 4));
+            hand.succeeded = 5_000;
+            hand.failed = 50;
+            hand.changes.apply(version(1, 5), hand.now);
+            for (int i = 0; i < 200; i++) {
+                hand.succeeded += worse ? 16 : 20;
+                hand.failed += worse ? 4 : i % 5 == 0 ? 1 : 0;
+                hand.run(Span.ofMillis(50));
+            }
+            assertEquals(worse ? version(0, 4) : version(1, 5), hand.changes.good(), hand.changes.last());
+        }
+    }
+
+    /** The measure must not undo by chance: a thousand changes under the same failures as before. */
+    @Test
+    void chanceAloneSeldomUndoes() {
+        Random random = new Random(1);
+        int undone = 0;
+        for (int i = 0; i < 300; i++) {
+            Hand hand = new Hand(version(0, 4));
+            for (int n = 0; n < 2_000; n++) {
+                hand.failed += random.nextDouble() < 0.05 ? 1 : 0;
+                hand.succeeded++;
+            }
+            hand.changes.apply(version(1, 5), hand.now);
+            for (int n = 0; n < 200; n++) {
+                for (int k = 0; k < 10; k++) {
+                    boolean fails = random.nextDouble() < 0.05;
+                    hand.failed += fails ? 1 : 0;
+                    hand.succeeded += fails ? 0 : 1;
+                }
+                hand.run(Span.ofMillis(50));
+            }
+            undone += hand.changes.last().contains("undone") ? 1 : 0;
+        }
+        assertTrue(undone <= 3, undone + " of 300 undone by chance");
+    }
+
+    @Test
+    void oneAtATime() {
+        Hand hand = new Hand(version(0, 4));
+        hand.changes.apply(version(1, 5), hand.now);
+        String said = hand.changes.apply(version(2, 6), hand.now).get(0);
+        assertTrue(said.contains("undo it"), said);
+        hand.run(Span.ofMillis(100));
+        hand.changes.undo("test");
+        assertEquals(Stage.UNDOING, hand.changes.stage());
+        assertFalse(hand.changes.apply(version(2, 6), hand.now).isEmpty(), "nor while one is undone");
+        hand.written();
+        assertEquals(List.of(), hand.changes.apply(version(2, 6), hand.now));
+        assertFalse(new Hand(version(0, 1)).changes.undo("nothing"));
+    }
+
+    @Test
+    void anUndoBeforeTheRecordIsThereListsNothing() {
+        Hand hand = new Hand(version(0, 4));
+        hand.changes.apply(version(1, 5), hand.now);
+        assertTrue(hand.changes.undo("at once"));
+        hand.run(Span.ofMillis(60_000));
+        assertEquals(List.of(), hand.listed);
+        assertEquals(Stage.STEADY, hand.changes.stage());
+        assertEquals(version(0, 4), hand.changes.good());
+    }
+
+    @Test
+    void withoutARecordNothingIsBegunAndWithoutAConfirmationItIsUndone() {
+        Hand hand = new Hand(version(0, 4));
+        hand.broken = true;
+        hand.changes.apply(version(1, 5), hand.now);
+        hand.run(Span.ofMillis(1_000));
+        assertEquals(List.of(), hand.listed);
+        assertTrue(hand.changes.last().contains("not begun"));
+        hand.broken = false;
+        hand.changes.apply(version(1, 5), hand.now);
+        hand.run(Span.ofMillis(100));
+        hand.broken = true;
+        hand.run(Span.ofMillis(60_000));
+        assertEquals(version(0, 4), hand.changes.now());
+        assertEquals(Stage.STEADY, hand.changes.stage());
+    }
+
+    @Test
+    void whatMayNotBeTriedIsNamed() {
+        Version good = version(0, 2);
+        assertTrue(Check.of(good, new Version(List.of())).get(0).contains("empty"));
+        assertTrue(Check.of(good, new Version(List.of(line(0, true)))).get(0).contains("no host is ready"));
+        assertTrue(Check.of(good, good).get(0).contains("nothing differs"));
+        Line twice = new Line("other", line(0, false).addresses(), 0, 0, 0, 1, false);
+        assertTrue(Check.of(good, new Version(List.of(line(0, false), twice))).get(0).contains("one address"));
+        assertThrows(IllegalArgumentException.class, () -> new Version(List.of(line(0, false), line(0, true))));
+    }
+
+    // ---- whatever happens ----
+
+    @Provide
+    Arbitrary<Version> versions() {
+        return Arbitraries.integers().between(0, 8).flatMap(n -> Arbitraries.of(true, false, false).list().ofSize(n + 1)
+            .map(drains -> {
+                List<Line> lines = new ArrayList<>();
+                for (int i = 0; i < drains.size(); i++) {
+                    lines.add(line(i * (1 + n % 3), drains.get(i)));
+                }
+                return new Version(lines);
+            }));
+    }
+
+    /** Steps end at the wanted version, never leave it without a ready host, and none takes more than its share. */
+    @Property
+    void stepsAreSafe(@ForAll("versions") Version from, @ForAll("versions") Version to) {
+        if (!Check.of(from, to).isEmpty() || from.ready() == 0) {
+            return;
+        }
+        List<Version> steps = Route.steps(from, to, CAUTION);
+        assertEquals(to, steps.get(steps.size() - 1));
+        Version before = from;
+        for (Version each : steps) {
+            assertNotEquals(before, each);
+            assertTrue(each.ready() > 0, "ready hosts at every step");
+            before = each;
+        }
+        double allowed = Math.max(1.0, Math.floor(CAUTION.step() * (from.ready() + to.ready()))) / from.ready();
+        assertTrue(Route.worst(from, steps) <= Math.max(1, allowed) + 1e-9);
+    }
+
+    @Property
+    void versionsAndRecordsComeOutAsTheyWentIn(@ForAll("versions") Version good, @ForAll("versions") Version tried) {
+        assertEquals(good, Version.read(good.text()));
+        assertEquals(new Journal.Record(good, tried), Journal.Record.read(new Journal.Record(good, tried).text()));
+        assertEquals(new Journal.Record(good, null), Journal.Record.read(new Journal.Record(good, null).text()));
+    }
+
+    @Property
+    void textsThatAreNoRecordsAreRefused(@ForAll String text) {
+        assertThrows(IllegalArgumentException.class, () -> Journal.Record.read("w" + text.replace("--\n", "")));
+    }
+
+    /**
+     * Any order of changes, undos, time, dead hosts, bad answers, disks that break, and deaths of the process: it always comes to rest,
+     * what is in force at rest is good, and after a death it begins with a version that had been good or confirmed.
+     */
+    @Property(tries = 500)
+    void whateverHappensItComesToRestAtAGoodVersion(@ForAll long seed) {
+        Random random = new Random(seed);
+        Version file = version(0, 3);
+        Hand hand = new Hand(file);
+        List<Version> confirmed = new ArrayList<>(List.of(file));
+        for (int i = 0; i < 60; i++) {
+            switch (random.nextInt(8)) {
+                case 0, 1 -> {
+                    int from = random.nextInt(4);
+                    hand.changes.apply(version(from, from + 1 + random.nextInt(5)), hand.now);
+                }
+                case 2 -> hand.changes.undo("by chance");
+                case 3 -> hand.lives = random.nextBoolean();
+                case 4 -> hand.failed += random.nextInt(300);
+                case 5 -> hand.broken = random.nextInt(4) == 0;
+                case 6 -> {
+                    // It dies here, between any two writes; the disk keeps what it has.
+                    for (int w = random.nextInt(3); w > 0 && !hand.writes.isEmpty(); w--) {
+                        hand.writes.poll().run();
+                    }
+                    Journal.Record kept = hand.kept;
+                    Version begun = Changes.recovered(kept, file);
+                    assertTrue(kept == null || begun.equals(kept.good()));
+                    assertTrue(confirmed.contains(begun) || kept != null && kept.tried() == null, "never what was only tried");
+                    Hand next = new Hand(begun);
+                    next.kept = kept;
+                    next.now = hand.now;
+                    hand = next;
+                    confirmed.add(begun);
+                }
+                default -> {
+                    hand.succeeded += random.nextInt(300);
+                    hand.run(Span.ofMillis(random.nextInt(4_000)));
+                }
+            }
+            if (hand.changes.stage() == Stage.STEADY) {
+                assertEquals(hand.changes.good(), hand.changes.now(), "at rest the good version is in force");
+                if (!confirmed.contains(hand.changes.good())) {
+                    assertTrue(hand.changes.last().contains("confirmed"), hand.changes.last());
+                    confirmed.add(hand.changes.good());
+                }
+            }
+        }
+        hand.broken = false;
+        hand.lives = true;
+        hand.run(Span.ofMillis(600_000));
+        assertEquals(Stage.STEADY, hand.changes.stage());
+        assertEquals(hand.changes.good(), hand.changes.now());
+        if (!hand.listed.isEmpty()) {
+            assertEquals(hand.changes.good(), hand.listed.get(hand.listed.size() - 1));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/flintlead/haproxy/ImporterTest.java
@@ -0,0 +1,251 @@
+package flintlead.haproxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.daemon.Installation;
+import flintlead.haproxy.Report.Fate;
+import flintlead.link.HostSpec;
+import flintlead.loop.Address;
+import flintlead.port.HostEntry;
+import flintlead.time.Span;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Each line of a source is accounted for once, whatever it is; what is taken over means what it meant, or the report says how not. */
+class ImporterTest {
+
+    private static final UnaryOperator<String> NONE = name -> name.equals("SAW_PORT") ? "7004" : null;
+
+    private static Importer.Imported mill() throws IOException {
+        try (var in = ImporterTest.class.getResourceAsStream("/haproxy/mill.cfg")) {
+            return imported(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    private static Importer.Imported imported(String text) {
+        return Importer.of(Source.parse("f.cfg", text, NONE), "/run/fl");
+    }
+
+    private static Fate fate(Importer.Imported imported, String begin) {
+        return entry(imported, begin).fate();
+    }
+
+    private static Report.Entry entry(Importer.Imported imported, String begin) {
+        return imported.report().entries().stream().filter(each -> each.text().startsWith(begin)).findFirst().orElseThrow();
+    }
+
+    @Test
+    void aMillIsTakenOver() throws Exception {
+        Importer.Imported mill = mill();
+        assertEquals(Set.of("saws.yaml", "reports.yaml", "plain.yaml"), mill.files().keySet());
+        Installation saws = Installation.parse("saws.yaml", mill.files().get("saws.yaml"));
+        assertEquals(List.of(Address.parse("tcp:127.0.0.1:8000"), Address.parse("tcp:127.0.0.1:8001"),
+            Address.parse("unix:/run/mill.sock")), saws.listen());
+        assertEquals(List.of("saw-1", "saw-2", "saw-3", "saw-4"), saws.hosts().stream().map(HostSpec::name).toList());
+        assertEquals(List.of(HostEntry.State.READY, HostEntry.State.READY, HostEntry.State.DRAINING, HostEntry.State.DRAINING),
+            saws.hosts().stream().map(HostSpec::state).toList());
+        assertEquals(List.of(10.0, 30.0, 10.0, 10.0), saws.hosts().stream().map(HostSpec::weight).toList());
+        assertEquals(Address.parse("unix:/run/saw 3.sock"), saws.hosts().get(2).addresses().get(0));
+        assertEquals(Address.parse("tcp:127.0.0.1:7004"), saws.hosts().get(3).addresses().get(0));
+        assertEquals(Span.ofMillis(4_000), saws.terms().triggerTypes().get(0).clientTimeout());
+        assertEquals(Span.ofMillis(20_000), saws.terms().rules().warmAfter());
+        assertEquals(3, saws.terms().hosts().dispatchCap());
+        assertEquals(Span.ofMillis(500), saws.links().dialTime());
+        assertEquals(25, saws.links().inFlight());
+        assertEquals(900, saws.front().connections());
+        Installation reports = Installation.parse("reports.yaml", mill.files().get("reports.yaml"));
+        assertEquals(Span.ofMillis(60_000), reports.terms().triggerTypes().get(0).clientTimeout(), "its own defaults");
+        assertEquals(List.of(Address.parse("unix:/run/fl/reports.sock")), reports.listen());
+        assertEquals(Address.parse("tcp:[::1]:7102"), reports.hosts().get(1).addresses().get(0));
+        assertEquals(HostEntry.State.DRAINING, reports.hosts().get(1).state(), "weight 0");
+        // A proxy that names no defaults takes the last ones above it.
+        assertEquals(Span.ofMillis(60_000), Installation.parse("p", mill.files().get("plain.yaml")).terms().triggerTypes().get(0)
+            .clientTimeout());
+    }
+
+    @Test
+    void whatDiffersIsDroppedOrIsNotUnderstoodIsSaid() throws Exception {
+        Importer.Imported mill = mill();
+        assertEquals(Fate.DROPPED, fate(mill, "server saw-5"));
+        assertTrue(entry(mill, "server saw-5").why().contains("figures"));
+        assertEquals(Fate.DROPPED, fate(mill, "server saw-6"));
+        assertEquals(Fate.UNKNOWN, fate(mill, "server saw-7"));
+        assertEquals("'wieght' is no parameter of a server", entry(mill, "server saw-7").why());
+        assertEquals(Fate.UNKNOWN, fate(mill, "use_backend nowhere"));
+        assertEquals(Fate.DIFFERS, fate(mill, "use_backend reports"));
+        assertEquals(Fate.DROPPED, fate(mill, "bind :8443"));
+        assertEquals(Fate.UNKNOWN, fate(mill, "bogus"));
+        assertEquals(Fate.DROPPED, fate(mill, "peer a"));
+        assertEquals(Fate.DIFFERS, fate(mill, "balance leastconn"));
+        assertEquals(Fate.MAPPED, fate(mill, "timeout connect"));
+        assertEquals(55, entry(mill, "server p-2").line());
+        assertTrue(entry(mill, "server p-2").why().contains("not closed"));
+        String printed = mill.report().print();
+        assertTrue(printed.indexOf("not understood: 4") == 0, printed.lines().findFirst().orElse(""));
+    }
+
+    @Test
+    void aLineThatGoesOnIsNamedByItsFirst() throws Exception {
+        assertEquals(37, entry(mill(), "server saw-2").line());
+        assertTrue(entry(mill(), "server saw-2").text().endsWith("slowstart 20s"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
+        "a b\\ c| a,b c", "a 'b \\ c'| a,b \\ c", "a \"x$SAW_PORT y\"| a,x7004 y", "a \"${MISSING-z}\"| a,z", "a \"$MISSING\"| a,",
+        "a '$SAW_PORT'| a,$SAW_PORT", "a $SAW_PORT| a,$SAW_PORT", "a \\x41# b| a,A", "a b#c| a,b", "a \"q\\\"q\"'r'| a,q\"qr", "a ''b| a,b"})
+    void wordsAreCutAsTheManualSays(String line, String words) throws Exception {
+        assertEquals(words, String.join(",", new Words(NONE).cut(line)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"a 'b, not closed", "a \"b, not closed", "a \\, backslash", "a \\xG1, hexadecimal", "a \"$\", without a name",
+        "a \"${A\", not closed", "a \"${A+b}\", write"})
+    void whatCannotBeCutSaysWhy(String line, String why) {
+        String said = assertThrows(Words.UnreadableException.class, () -> new Words(NONE).cut(line)).getMessage();
+        assertTrue(said.contains(why), said);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, 5ms", "5us, 5us", "90s, 90s", "2m, 120s", "1h, 3600s", "1d, 86400s", "1500ms, 1500ms", "0, 0s"})
+    void timesAreReadWithTheirUnits(String text, String ours) {
+        assertEquals(ours, Times.ours(Times.read(text)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"x", "5x", "-1", "1.5s", "25d", "99999999999s", "''"})
+    void whatIsNoTimeIsNone(String text) {
+        assertNull(Times.read(text));
+    }
+
+    @Test
+    void namedDefaultsAreInheritedThroughEachOther() {
+        Importer.Imported imported = imported("""
+            defaults a
+              timeout server 7s
+              default-server maxconn 9
+            defaults b from a
+              retries 4
+            backend one from b
+              server s 127.0.0.1:1
+            backend two from nobody
+              server s 127.0.0.1:1
+            """);
+        assertTrue(imported.files().get("one.yaml").contains("clientTimeout: 7s"));
+        assertTrue(imported.files().get("one.yaml").contains("hostInFlight: 9"));
+        assertTrue(imported.files().get("one.yaml").contains("dispatches: 5"));
+        assertNull(imported.files().get("two.yaml"));
+        assertEquals("there are no defaults 'nobody' above", entry(imported, "backend two").why());
+        assertEquals(9, imported.report().entries().size());
+    }
+
+    @Test
+    void filesAreReadInTheirOrderAndHugeOnesAreRefused(@TempDir Path folder) throws Exception {
+        Path first = folder.resolve("1.cfg");
+        Path second = folder.resolve("2.cfg");
+        Files.writeString(first, "defaults\n  timeout server 9s\n");
+        Files.writeString(second, "backend b\n  server s 127.0.0.1:1\n");
+        assertTrue(Importer.of(Source.read(List.of(first, second), NONE), "/r").files().get("b.yaml").contains("9s"));
+        try (var big = Files.newByteChannel(folder.resolve("big"), Set.of(java.nio.file.StandardOpenOption.CREATE,
+            java.nio.file.StandardOpenOption.WRITE, java.nio.file.StandardOpenOption.SPARSE))) {
+            big.position(Source.BYTES_MOST).write(java.nio.ByteBuffer.wrap(new byte[1]));
+        }
+        assertThrows(IOException.class, () -> Source.read(List.of(folder.resolve("big")), NONE));
+    }
+
+    // ---- whatever comes ----
+
+    /** Lines made of the grammar's pieces in any order. */
+    @Provide
+    Arbitrary<String> grammar() {
+        Arbitrary<String> word = Arbitraries.of("global", "defaults", "frontend", "backend", "listen", "peers", "from", "a", "b", "server",
+            "default-server", "bind", "127.0.0.1:80", "*:1-3", ":x", "unix@/s", "check", "weight", "7", "256", "maxconn", "backup",
+            "slowstart", "10s", "timeout", "connect", "server", "client", "default_backend", "use_backend", "if", "balance", "option",
+            "redispatch", "no", "retries", "stick-table", "tune.x", "'q q'", "\"$SAW_PORT\"", "\"${X-y}\"", "\\ ", "\\", "\"", "'", "#",
+            "[::1]:9", "disabled", "ssl", "mode", "http", "acl", "é", "\u0000", "inter");
+        return word.list().ofMaxSize(7).map(words -> String.join(" ", words)).list().ofMaxSize(30)
+            .map(lines -> String.join("\n", lines));
+    }
+
+    @Property(tries = 2_000)
+    void everyLineStandsInTheReportOnceWhateverItIs(@ForAll("grammar") String text) {
+        accounted(text);
+    }
+
+    @Property(tries = 1_000)
+    void anyTextIsAccountedFor(@ForAll String text) {
+        accounted(text);
+        accounted("backend a\n" + text + "\nserver s 127.0.0.1:1 " + text.replace("\n", " "));
+    }
+
+    private static void accounted(String text) {
+        Source source = Source.parse("f.cfg", text, NONE);
+        Importer.Imported imported = Importer.of(source, "/run");
+        assertEquals(source.lines(), imported.report().entries().size(), text);
+        Set<Integer> lines = new HashSet<>();
+        for (Report.Entry each : imported.report().entries()) {
+            assertTrue(lines.add(each.line()), "line " + each.line() + " stands twice");
+            assertFalse(each.fate() != Fate.MAPPED && each.why().isEmpty(), each.toString());
+        }
+        for (Map.Entry<String, String> file : imported.files().entrySet()) {
+            try {
+                Installation.parse(file.getKey(), file.getValue());
+            } catch (flintlead.yaml.YamlException e) {
+                // Two servers' names may collide by number, or sockets be too long; anything else is the importer's fault.
+                throw new AssertionError(e.faults() + "\n" + file.getValue() + "\nfrom\n" + text);
+            }
+        }
+    }
+
+    @Property(tries = 1_000)
+    void printedAndReadAgainItIsTheSame(@ForAll("grammar") String text) {
+        Source once = Source.parse("f", text, NONE);
+        String printed = once.print();
+        Source again = Source.parse("f", printed, NONE);
+        assertEquals(words(once), words(again), printed);
+        assertEquals(printed, again.print());
+    }
+
+    private static List<List<String>> words(Source source) {
+        List<List<String>> all = new ArrayList<>();
+        for (Part part : source.parts()) {
+            all.add(part.head().words());
+            part.lines().forEach(line -> all.add(line.words()));
+        }
+        return all;
+    }
+
+    @Test
+    void theMillPrintedAndTakenOverAgainIsTheSame() throws Exception {
+        try (var in = ImporterTest.class.getResourceAsStream("/haproxy/mill.cfg")) {
+            Source once = Source.parse("f.cfg", new String(in.readAllBytes(), StandardCharsets.UTF_8), NONE);
+            Importer.Imported again = imported(once.print());
+            Importer.of(once, "/run/fl").files().forEach((name, text) -> {
+                assertNotNull(again.files().get(name), name);
+                assertEquals(text.substring(text.indexOf('\n')), again.files().get(name).substring(again.files().get(name).indexOf('\n')));
+            });
+        }
+    }
+}
