What is learnt before the list of hosts is there is kept for it

Cause: a gateway that learnt faster than its host list came dropped every fact, as Control knew none of the hosts they spoke of; PeersTest failed so once on a busy machine.

Core keeps facts, at most 50,000, with the moment they were seen, and tells them with the first list.

--- a/src/main/java/flintlead/gateway/Core.java
+++ b/src/main/java/flintlead/gateway/Core.java
@@ -47,6 +47,7 @@
     private static final Span SWEEP = Span.ofMillis(20);
     /** Links are looked at in each so many sweeps: what is looked for there takes seconds, and there may be many. */
     private static final int CHECK_EVERY = 5;
+    private static final int EARLY_MOST = 50_000;
     private static final Span TIMEOUT_MOST = Span.ofMillis(600_000);
     private static final int NAME_MOST = 256;
     /** What one who comes while the gateway stops is told to wait: it is to find another gateway, or a new one. */
@@ -54,6 +55,8 @@
     private static final int NO_CUSTOMER = Integer.MAX_VALUE;
     private static final int CROWD_MOST = 30;
 
+    private record Early(long host, long function, int copies, Moment seenAt) { }
+
     private final Terms terms;
     private final Loop loop;
     private final Transport transport;
@@ -78,6 +81,8 @@
     private final String tokenStem;
     private long nextInvocation;
     private Taker.Company company;
+    /** What was learnt before there was a list of hosts. */
+    private final List<Early> early = new ArrayList<>();
     private long sweeps;
     private boolean sweeping;
     private boolean stopping;
@@ -500,6 +505,22 @@
         company = others;
     }
 
+    /** Another gateway saw copies stand, so long ago. */
+    void learned(long host, long function, int copies, Span age) {
+        if (!hosts.isEmpty()) {
+            dispatcher.learned(host, function, copies, age);
+        } else if (early.size() < EARLY_MOST) {
+            // Others may teach before the list of hosts is there; Control would know none of those they speak of.
+            early.add(new Early(host, function, copies, now().minus(age)));
+        }
+    }
+
+    private void tellEarly() {
+        List<Early> kept = List.copyOf(early);
+        early.clear();
+        kept.forEach(each -> dispatcher.learned(each.host, each.function, each.copies, now().since(each.seenAt)));
+    }
+
     Dispatcher dispatcher() {
         return dispatcher;
     }
@@ -571,6 +592,9 @@
         } else if (!changed.isEmpty()) {
             dispatcher.hostsChanged(changed);
         }
+        if (!early.isEmpty() && !hosts.isEmpty()) {
+            tellEarly();
+        }
         if (hosts.size() == list.size()) {
             return;
         }
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -336,7 +336,7 @@
 
         @Override
         public void learned(long host, long function, int copies, Span age) {
-            core.dispatcher().learned(host, function, copies, age);
+            core.learned(host, function, copies, age);
         }
 
         @Override
--- a/src/test/java/flintlead/peers/PeersTest.java
+++ b/src/test/java/flintlead/peers/PeersTest.java
@@ -123,8 +123,9 @@
         int coldBlank = elsewhere(standing, 1);
 
         Daemon taught = gateway("gw-2", 2, seed(old), "");
-        taught.gateway().hosts(now);
+        // The lesson is over before the list of hosts is there: it must not be lost.
         await().atMost(SOON).until(() -> on(taught, Peers::counts).learning().startsWith("all learnt"));
+        taught.gateway().hosts(now);
         // What stood at the drained host is no fact any more: the old one was not told, the taught one knows better.
         assertTrue(on(taught, Peers::counts).learnt() >= standing.size(), on(taught, Peers::counts).learning());
         invokeAll(taught);
