--- a/src/main/java/flintlead/change/Changes.java
+++ b/src/main/java/flintlead/change/Changes.java
@@ -38,7 +38,6 @@
     private Reading before;
     private Moment nextAt;
     private Moment deadSince;
-    private Moment startedAt;
     private boolean finding;
     private String last = "none yet";
 
@@ -104,7 +103,6 @@
         tried = to;
         steps = Route.steps(good, to, caution);
         step = 0;
-        startedAt = at;
         journal.write(new Journal.Record(good, to), written -> {
             if (stage != Stage.WRITING) {
                 return;
@@ -203,9 +201,4 @@
         step = 0;
         begin = readings.get();
     }
-
-    /** When the change under way began; null where none is. */
-    public Moment startedAt() {
-        return stage == Stage.STEADY ? null : startedAt;
-    }
 }
--- a/src/main/java/flintlead/cli/CallCommand.java
+++ b/src/main/java/flintlead/cli/CallCommand.java
@@ -52,12 +52,7 @@
             throw new CommandLine.ParameterException(spec.commandLine(), "--timeout " + timeout
                 + ": write a number with its unit, as 500ms or 3s");
         }
-        Address address;
-        try {
-            address = Address.parse(at);
-        } catch (IllegalArgumentException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
-        }
+        Address address = Commands.address(spec, at);
         CompletableFuture<Reply> answer = new CompletableFuture<>();
         try (NettyLoop loop = new NettyLoop("call")) {
             loop.execute(() -> Client.connect(loop, address, () -> { }).invoke(function, type, customer, most, token,
--- a/src/main/java/flintlead/cli/ChangeCommand.java
+++ b/src/main/java/flintlead/cli/ChangeCommand.java
@@ -38,12 +38,7 @@
             throw new CommandLine.ParameterException(spec.commandLine(), needsFile ? what + " needs the file with the hosts to be"
                 : what + " takes no file");
         }
-        Address address;
-        try {
-            address = Address.parse(at);
-        } catch (IllegalArgumentException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
-        }
+        Address address = Commands.address(spec, at);
         try {
             JsonNode answer = Question.ask(address, what.name().toLowerCase(java.util.Locale.ROOT), needsFile ? "hosts" : null,
                 needsFile ? Files.readString(file) : null);
--- a/src/main/java/flintlead/cli/Commands.java
+++ b/src/main/java/flintlead/cli/Commands.java
@@ -1,5 +1,6 @@
 package flintlead.cli;
 
+import flintlead.loop.Address;
 import flintlead.yaml.YamlException;
 import java.io.IOException;
 import java.util.concurrent.Callable;
@@ -24,7 +25,7 @@
 
     static int run(String[] args) {
         return new CommandLine(new Commands()).setExecutionExceptionHandler((e, line, parsed) -> {
-            if (e instanceof YamlException || e instanceof IOException) {
+            if (e instanceof YamlException || e instanceof IOException || e instanceof IllegalArgumentException) {
                 System.err.println(e.getMessage());
             } else {
                 e.printStackTrace();
@@ -33,6 +34,15 @@
         }).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
     }
 
+    /** An address that was written on the command line; exit 2 with what is wrong. */
+    static Address address(CommandLine.Model.CommandSpec spec, String text) {
+        try {
+            return Address.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
+        }
+    }
+
     @Override
     public Integer call() {
         spec.commandLine().usage(System.err);
--- a/src/main/java/flintlead/cli/LabCommand.java
+++ b/src/main/java/flintlead/cli/LabCommand.java
@@ -124,16 +124,31 @@
         }
     }
 
+    /** Which days an experiment plays, and where it tells of them. */
+    static final class Days {
+        @Option(names = "--seeds", defaultValue = "20", description = "How many days each.")
+        private int seeds;
+
+        @Option(names = "--seed", defaultValue = "1", description = "The first seed.")
+        private long seed;
+
+        @Option(names = "--report", description = "Write a page with plots there.")
+        private Path page;
+    }
+
     /** Plays arms and tells of them. */
-    private static int experiment(String title, Map<String, Plan> arms, long seed, int seeds, Path page)
-        throws IOException, InterruptedException {
-        List<Experiment.Arm> done = new Experiment(seed, seeds, Runtime.getRuntime().availableProcessors()).play(arms);
+    private static int experiment(String title, Map<String, Plan> arms, Days days) throws IOException, InterruptedException {
+        if (days.seeds < 2) {
+            System.err.println("--seeds " + days.seeds + ": at least 2 days are needed for an interval");
+            return Commands.USAGE;
+        }
+        List<Experiment.Arm> done = new Experiment(days.seed, days.seeds, Runtime.getRuntime().availableProcessors()).play(arms);
         Experiment.Arm first = done.get(0);
         boolean wrong = false;
         for (Experiment.Arm arm : done) {
             if (arm != first) {
                 System.out.printf("%s against %s, %d days, simulated%n%-14s %10s %10s %11s  %-22s %-22s %5s %5s%n", arm.name(),
-                    first.name(), seeds, "outcome", "first", "second", "difference", "95% (t)", "95% (bootstrap)", "above",
+                    first.name(), days.seeds, "outcome", "first", "second", "difference", "95% (t)", "95% (bootstrap)", "above",
                     "below");
                 Experiment.compare(first, arm).forEach((name, paired) -> System.out.printf(Locale.ROOT,
                     "%-14s %10.4f %10.4f %+11.4f%s %-22s %-22s %5d %5d%n", name, paired.first(), paired.second(),
@@ -148,8 +163,8 @@
             }
             System.err.printf("%s: %.1f s of CPU%n", arm.name(), arm.secondsOfCpu());
         }
-        if (page != null) {
-            new Pages().experiment(page, title, done, seeds);
+        if (days.page != null) {
+            new Pages().experiment(days.page, title, done, days.seeds);
         }
         return wrong ? Commands.RULE_BROKE : 0;
     }
@@ -165,25 +180,15 @@
         @Parameters(index = "1", description = "The second.")
         private String second;
 
-        @Option(names = "--seeds", defaultValue = "20", description = "How many days each.")
-        private int seeds;
-
-        @Option(names = "--seed", defaultValue = "1", description = "The first seed.")
-        private long seed;
-
-        @Option(names = "--report", description = "Write a page with plots there.")
-        private Path page;
+        @CommandLine.Mixin
+        private Days days;
 
         @Override
         public Integer call() throws IOException, YamlException, InterruptedException {
-            if (seeds < 2) {
-                System.err.println("--seeds " + seeds + ": at least 2 days are needed for an interval");
-                return Commands.USAGE;
-            }
             Map<String, Plan> arms = new LinkedHashMap<>();
             arms.put(first, DayCommand.plan(first));
             arms.put(second.equals(first) ? second + " again" : second, DayCommand.plan(second));
-            return experiment(first + " and " + second, arms, seed, seeds, page);
+            return experiment(first + " and " + second, arms, days);
         }
     }
 
@@ -198,21 +203,11 @@
         @Parameters(index = "1", description = "hosts=8,16,32, gateways=1,16,300, load=0.5,1,1.5 or policy=control,random.")
         private String factor;
 
-        @Option(names = "--seeds", defaultValue = "10", description = "How many days each.")
-        private int seeds;
-
-        @Option(names = "--seed", defaultValue = "1", description = "The first seed.")
-        private long seed;
-
-        @Option(names = "--report", description = "Write a page with plots there.")
-        private Path page;
+        @CommandLine.Mixin
+        private Days days;
 
         @Override
         public Integer call() throws IOException, YamlException, InterruptedException {
-            if (seeds < 2) {
-                System.err.println("--seeds " + seeds + ": at least 2 days are needed for an interval");
-                return Commands.USAGE;
-            }
             Map<String, Plan> arms;
             try {
                 arms = Factor.parse(factor).arms(DayCommand.plan(file));
@@ -220,7 +215,7 @@
                 System.err.println(e.getMessage());
                 return Commands.USAGE;
             }
-            return experiment(file + ", " + factor, arms, seed, seeds, page);
+            return experiment(file + ", " + factor, arms, days);
         }
     }
 }
--- a/src/main/java/flintlead/cli/MembersCommand.java
+++ b/src/main/java/flintlead/cli/MembersCommand.java
@@ -25,12 +25,7 @@
 
     @Override
     public Integer call() throws Exception {
-        Address address;
-        try {
-            address = Address.parse(at);
-        } catch (IllegalArgumentException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(), e.getMessage());
-        }
+        Address address = Commands.address(spec, at);
         try {
             JsonNode answer = Question.ask(address, "members", null, null);
             JsonNode members = answer.path("result").path("members");
--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -105,8 +105,15 @@
         FolderDisk folder = installation.records() == null ? null : new FolderDisk(installation.records());
         Journal.Record kept = HostChanges.kept(folder, log::warn);
         CompletableFuture<HostChanges> begun = new CompletableFuture<>();
-        gateway.withTaker(taker -> begun.complete(new HostChanges(taker, HostChanges.version(installation.hosts()), kept,
-            installation.caution(), taker::counts, folder, disk, log::info)));
+        gateway.withTaker(taker -> {
+            try {
+                begun.complete(new HostChanges(taker, HostChanges.version(installation.hosts()), kept, installation.caution(),
+                    taker::counts, folder, disk, log::info));
+            } catch (RuntimeException e) {
+                // Else the start would wait for ever.
+                begun.completeExceptionally(e);
+            }
+        });
         control = ControlSocket.open(loop, installation.control(), begun.join());
         log.info("{} may be changed at {}", installation.terms().gateway(), installation.control());
     }
--- a/src/main/java/flintlead/daemon/HostChanges.java
+++ b/src/main/java/flintlead/daemon/HostChanges.java
@@ -63,7 +63,12 @@
     static Journal.Record kept(Disk disk, Consumer<String> say) {
         try {
             byte[] bytes = disk == null ? null : disk.read(RECORD);
-            return bytes == null ? null : Journal.Record.read(new String(bytes, StandardCharsets.UTF_8));
+            Journal.Record record = bytes == null ? null : Journal.Record.read(new String(bytes, StandardCharsets.UTF_8));
+            if (record != null) {
+                // All of it must be hosts: one that is none would stop the start when the list is told.
+                record.good().lines().values().forEach(HostChanges::spec);
+            }
+            return record;
         } catch (IOException | IllegalArgumentException e) {
             say.accept("the record of changes can't be used: " + e.getMessage() + "; the file's hosts are taken");
             return null;
@@ -80,9 +85,7 @@
             writer.execute(() -> {
                 boolean written;
                 try {
-                    disk.writeSynced(RECORD + ".new", bytes);
-                    disk.rename(RECORD + ".new", RECORD);
-                    disk.syncFolder();
+                    disk.replace(RECORD, bytes);
                     written = true;
                 } catch (IOException e) {
                     say.accept("the record of changes can't be written: " + e);
--- a/src/main/java/flintlead/day/Day.java
+++ b/src/main/java/flintlead/day/Day.java
@@ -8,10 +8,8 @@
 import flintlead.front.FrontBounds;
 import flintlead.gateway.Counts;
 import flintlead.gateway.Flintlead;
-import flintlead.gateway.Taker;
 import flintlead.gateway.Terms;
 import flintlead.ids.Ids;
-import flintlead.learn.Fact;
 import flintlead.link.HostSpec;
 import flintlead.loop.Address;
 import flintlead.loop.Place;
@@ -48,7 +46,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.ToIntFunction;
 import org.HdrHistogram.Histogram;
@@ -79,6 +76,7 @@
         String name;
         Place loop;
         Flintlead gateway;
+        volatile Peers peers;
         Address front;
         boolean up;
         final List<Wire> wires = new ArrayList<>();
@@ -141,7 +139,6 @@
     private final Map<Long, StandIn> byNumber = new HashMap<>();
     private final Map<Long, String> functionNames = new HashMap<>();
     private final Map<Integer, Address.Udp> seedPorts = new ConcurrentSkipListMap<>();
-    private final AtomicLong learnt = new AtomicLong();
     private Decider decider;
     private Chronicle chronicle;
     private Moment began;
@@ -330,43 +327,16 @@
     private void keepCompany(Site site) throws IOException {
         List<Address.Udp> seeds = new ArrayList<>(seedPorts.values());
         PeerTerms terms = PeerTerms.usual(new Address.Udp("127.0.0.1", 0), seeds);
-        Taker[] taker = new Taker[1];
-        // Facts are asked for after the taker is here, as both come in events of one place, one after the other.
-        site.gateway.withTaker(here -> taker[0] = here);
-        Peers.Gateway late = new Peers.Gateway() {
-            @Override
-            public void heard(int index, byte[] word) {
-                taker[0].heard(index, word);
+        CompletableFuture<OfTaker> taker = new CompletableFuture<>();
+        site.gateway.withTaker(here -> taker.complete(new OfTaker(here, any -> { })));
+        OfTaker own = taker.join();
+        Peers.open(site.loop, terms, "gw-" + site.index, site.index, whole.epochMs(), own, seed * 13 + site.index + 1, peers -> {
+            own.join(peers);
+            site.peers = peers;
+            if (site.index < SEEDS) {
+                seedPorts.put(site.index, peers.address());
             }
-
-            @Override
-            public List<Fact> facts() {
-                return new OfTaker(taker[0], any -> { }).facts();
-            }
-
-            @Override
-            public void learnt(List<Fact> facts) {
-                learnt.addAndGet(facts.size());
-                new OfTaker(taker[0], any -> { }).learnt(facts);
-            }
-
-            @Override
-            public void gateways(int there) {
-                taker[0].gatewaysAre(there);
-            }
-
-            @Override
-            public void say(String line) {
-                // The day is judged by what went over the wires.
-            }
-        };
-        Peers.open(site.loop, terms, "gw-" + site.index, site.index, whole.epochMs(), late, seed * 13 + site.index + 1,
-            peers -> {
-                new OfTaker(taker[0], any -> { }).join(peers);
-                if (site.index < SEEDS) {
-                    seedPorts.put(site.index, peers.address());
-                }
-            });
+        });
     }
 
     /** Where the first gateway's clients come in. */
@@ -400,10 +370,12 @@
                 counted.merge("flights at the end", (long) counts.flights(), Long::sum);
                 counted.merge("kept back by the ledger", counts.keptBack(), Long::sum);
                 counted.merge("answered by the ledger", counts.overdue(), Long::sum);
+                if (site.peers != null) {
+                    on(site.loop, () -> counted.merge("facts learnt", (long) site.peers.counts().learnt(), Long::sum));
+                }
                 counts.outcomes().forEach((outcome, n) -> counted.merge("dispatch " + outcome, n, Long::sum));
             }
         }
-        counted.put("facts learnt", learnt.get());
         Result[] result = new Result[1];
         on(clients, () -> on(world, () -> {
             if (chronicle != null) {
--- a/src/main/java/flintlead/lab/experiment/Outcomes.java
+++ b/src/main/java/flintlead/lab/experiment/Outcomes.java
@@ -34,9 +34,4 @@
         all.put("rules broken", (double) result.breaches().size());
         return all;
     }
-
-    /** Whether more of it is better. */
-    static boolean moreIsBetter(String outcome) {
-        return outcome.equals("value");
-    }
 }
--- a/src/main/java/flintlead/member/Swim.java
+++ b/src/main/java/flintlead/member/Swim.java
@@ -85,7 +85,6 @@
     private int nacksDue;
     private Moment periodEnds;
     private Moment askAt;
-    private Moment woken;
     private Moment wakeAsked;
     private boolean left;
 
@@ -133,7 +132,6 @@
     // ---- the course of it ----
 
     public void begin(Moment now) {
-        woken = now;
         join(now);
         nextPeriod(now);
         alarm();
@@ -160,7 +158,6 @@
         if (late.isLongerThan(rhythm.period().times(SLEPT))) {
             slept(late, now);
         }
-        woken = now;
         if (askAt != null && !now.isBefore(askAt) && !asked && !answered && target != null) {
             askHelpers(now);
         }
@@ -563,9 +560,4 @@
         sizes.put("turn", turn.size());
         return sizes;
     }
-
-    /** The last moment at which it was awake. */
-    Moment woken() {
-        return woken;
-    }
 }
--- a/src/main/java/flintlead/snapshot/Disk.java
+++ b/src/main/java/flintlead/snapshot/Disk.java
@@ -14,6 +14,13 @@
     /** Puts the file in the other's place at once. */
     void rename(String from, String to) throws IOException;
 
+    /** Puts the bytes in the file's place, so that a crash at any step leaves the old ones or the new ones. */
+    default void replace(String name, byte[] bytes) throws IOException {
+        writeSynced(name + ".new", bytes);
+        rename(name + ".new", name);
+        syncFolder();
+    }
+
     /** Waits until renames are on the medium. */
     void syncFolder() throws IOException;
 }
--- a/src/main/java/flintlead/snapshot/SnapshotFile.java
+++ b/src/main/java/flintlead/snapshot/SnapshotFile.java
@@ -45,9 +45,7 @@
             byte[] body = mapper.writeValueAsBytes(snapshot);
             ByteBuffer file = ByteBuffer.allocate(HEAD + body.length).put(MARK).putInt(VERSION).putInt(body.length)
                 .putInt(sum(body)).put(body);
-            disk.writeSynced(name + ".new", file.array());
-            disk.rename(name + ".new", name);
-            disk.syncFolder();
+            disk.replace(name, file.array());
             failing = false;
             return true;
         } catch (IOException e) {
--- a/src/test/java/flintlead/daemon/ChangeServiceTest.java
+++ b/src/test/java/flintlead/daemon/ChangeServiceTest.java
@@ -217,6 +217,18 @@
         assertEquals(changed, ask("status", null).path("now").asText());
     }
 
+    /** A record that holds no hosts must not stop the start, nor keep it waiting. */
+    @Test
+    void aRecordThatIsNoneLeavesTheFile() throws Exception {
+        String good = ask("status", null).path("now").asText();
+        for (String rotten : new String[] {"", "w-0\tnowhere\t0\t0\t0\t1.0\tready\n--\n", "\u0000\n--\n", "w-0\ttcp:127.0.0.1:1\tx\t0\t0\t1.0\tready\n--\n"}) {
+            daemon.stop();
+            Files.writeString(folder.resolve("hosts.change"), rotten);
+            start();
+            assertEquals(good, ask("status", null).path("now").asText(), rotten);
+        }
+    }
+
     @Test
     void plansSayWhatTheyCostAndFaultsWhatIsWrong() throws Exception {
         JsonNode plan = ask("plan", list("w-2", "w-3", "w-4", "w-5"));
