One change over many gateways: waves, held against the unchanged, fenced on the way back

Need: each gateway was changed for itself, and nobody saw to it that a change reached all of them or none, that what only some traffic shows was seen before it reached all, or that a coordinator's death left no half.

flintlead.rollout: all check first; one, a tenth, a half, all; a wave ends when each gateway has confirmed by itself; the changed are held against the others in the same span. Every call names the version it expects; a gateway that goes back refuses what is late.

--- a/src/main/java/flintlead/cli/Commands.java
+++ b/src/main/java/flintlead/cli/Commands.java
@@ -12,7 +12,7 @@
     description = "Runs calls on workers which load functions or models on demand.",
     subcommands = {DayCommand.Demo.class, ServeCommand.class,
         ServeCommand.Check.class, CallCommand.class, HostCommand.class, DayCommand.class, LoadCommand.class,
-        LabCommand.class, RegistryCommand.class, RegistryCommand.Watch.class, MembersCommand.class, PoolsCommand.class, ImportCommand.class, ChangeCommand.class,
+        LabCommand.class, RegistryCommand.class, RegistryCommand.Watch.class, MembersCommand.class, PoolsCommand.class, ImportCommand.class, ChangeCommand.class, RolloutCommand.class,
         CommandLine.HelpCommand.class})
 final class Commands implements Callable<Integer> {
 
--- /dev/null
+++ b/src/main/java/flintlead/daemon/RolloutRun.java
@@ -0,0 +1,211 @@
+package flintlead.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import flintlead.rollout.Pace;
+import flintlead.rollout.Record;
+import flintlead.rollout.Rollout;
+import flintlead.rollout.Standing;
+import flintlead.snapshot.Disk;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Runs a rollout over the control sockets of gateways, from one thread, with its record on disk. */
+public final class RolloutRun implements Rollout.Gateways {
+
+    /** Asks one gateway and waits for its answer. */
+    public interface Asker {
+        /** @throws IOException when there is none in time */
+        JsonNode ask(String address, String method, Map<String, String> params) throws IOException, InterruptedException;
+    }
+
+    private static final String RECORD = "rollout.json";
+    private static final String BACK = "-back";
+    private static final int THREADS_MOST = 16;
+    private static final long TURN_MS = 50;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Answers wait here for the one thread that the rollout runs on. */
+    private final BlockingQueue<Runnable> answers = new LinkedBlockingQueue<>();
+    private final ExecutorService askers;
+    private final List<String> at;
+    private final String id;
+    private final String text;
+    private final Disk disk;
+    private final Asker asker;
+    private final Consumer<String> say;
+    private final Rollout rollout;
+
+    /** A new one. @param text of the file with the hosts, pools and routes to be */
+    public RolloutRun(List<String> at, String id, String text, Pace pace, Disk disk, Asker asker, Consumer<String> say) {
+        this(at, id, text, null, false, pace, disk, asker, say);
+    }
+
+    private RolloutRun(List<String> at, String id, String text, Record record, boolean undo, Pace pace, Disk disk, Asker asker, Consumer<String> say) {
+        this.at = List.copyOf(at);
+        this.id = id;
+        this.text = text;
+        this.disk = disk;
+        this.asker = asker;
+        this.say = say;
+        this.askers = Executors.newFixedThreadPool(Math.min(THREADS_MOST, at.size()), task -> {
+            Thread thread = new Thread(task, "rollout");
+            thread.setDaemon(true);
+            return thread;
+        });
+        this.rollout = record == null ? new Rollout(id, this.at, pace, this) : Rollout.resumed(record, undo, pace, this);
+    }
+
+    /**
+     * Goes on with what the record says, or takes it back.
+     *
+     * @throws IOException when there is no record, or none that can be used
+     */
+    public static RolloutRun resumed(boolean undo, Pace pace, Disk disk, Asker asker, Consumer<String> say) throws IOException {
+        byte[] bytes = disk.read(RECORD);
+        if (bytes == null) {
+            throw new IOException("there is no record of a rollout");
+        }
+        JsonNode json = JSON.readTree(bytes);
+        List<Record.One> ones = new ArrayList<>();
+        for (JsonNode each : json.path("gateways")) {
+            ones.add(new Record.One(each.path("name").asText(), each.path("from").asText(), each.path("to").asText(), each.path("before").asText(),
+                each.path("touched").asBoolean()));
+        }
+        if (ones.isEmpty() || !json.has("text") || !json.has("id")) {
+            throw new IOException("the record of a rollout can't be used");
+        }
+        Record record = new Record(json.path("id").asText(), ones, json.path("reverting").isTextual() ? json.path("reverting").asText() : null);
+        return new RolloutRun(ones.stream().map(Record.One::name).toList(), record.id(), json.path("text").asText(), record, undo, pace, disk, asker, say);
+    }
+
+    /** Runs until it is over, or that long. */
+    public Rollout run(Span most) throws InterruptedException {
+        Moment end = now().plus(most);
+        try {
+            while (!rollout.isOver() && now().isBefore(end)) {
+                rollout.wake(now());
+                Runnable answer = answers.poll(TURN_MS, TimeUnit.MILLISECONDS);
+                while (answer != null) {
+                    answer.run();
+                    answer = answers.poll();
+                }
+            }
+        } finally {
+            askers.shutdownNow();
+        }
+        return rollout;
+    }
+
+    private static Moment now() {
+        return new Moment(System.nanoTime() / 1_000);
+    }
+
+    private interface Talk {
+        Runnable with(String address) throws IOException, InterruptedException;
+    }
+
+    private void ask(int gateway, Talk talk) {
+        askers.execute(() -> {
+            try {
+                answers.add(talk.with(at.get(gateway)));
+            } catch (IOException e) {
+                answers.add(() -> rollout.failed(gateway, false, e.getMessage(), now()));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    /** The answer, or what a gateway says against it. */
+    private JsonNode change(String address, String method, Map<String, String> params) throws IOException, InterruptedException {
+        JsonNode answer = asker.ask(address, method, params);
+        return answer.has("error") ? answer.path("error") : answer.path("result").path("change");
+    }
+
+    private Runnable refused(int gateway, JsonNode answer) {
+        return () -> rollout.failed(gateway, true, answer.path("message").asText(), now());
+    }
+
+    @Override
+    public void plan(int gateway) {
+        ask(gateway, address -> {
+            JsonNode plan = change(address, "plan", Map.of("hosts", text));
+            if (plan.has("message")) {
+                return refused(gateway, plan);
+            }
+            JsonNode before = change(address, "show", Map.of());
+            String from = plan.path("from").asText();
+            String to = plan.path("to").asText();
+            List<String> faults = new ArrayList<>();
+            // One that has it already is one that need not be told.
+            plan.path("faults").forEach(each -> faults.add(each.asText()));
+            return () -> rollout.planned(gateway, from.equals(to) ? List.of() : faults, from, to, before.toString(), now());
+        });
+    }
+
+    @Override
+    public void apply(int gateway, String expects, boolean back) {
+        String what = back ? rollout.before(gateway) : text;
+        ask(gateway, address -> {
+            JsonNode answer = change(address, "apply", Map.of("hosts", what, "expects", expects, "rollout", back ? id + BACK : id));
+            return answer.has("message") ? refused(gateway, answer) : () -> { };
+        });
+    }
+
+    @Override
+    public void undo(int gateway) {
+        ask(gateway, address -> {
+            JsonNode answer = change(address, "undo", Map.of());
+            return answer.has("message") ? refused(gateway, answer) : () -> { };
+        });
+    }
+
+    @Override
+    public void ask(int gateway, boolean fence) {
+        ask(gateway, address -> {
+            JsonNode answer = fence ? change(address, "fence", Map.of("rollout", id)) : change(address, "status", Map.of());
+            if (answer.has("message")) {
+                return refused(gateway, answer);
+            }
+            Standing standing = new Standing(answer.path("stage").asText().equals("steady"), answer.path("good").asText(),
+                answer.path("tried").asLong(), answer.path("last").asText(), answer.path("succeeded").asLong(), answer.path("failed").asLong());
+            return () -> rollout.told(gateway, standing, fence, now());
+        });
+    }
+
+    @Override
+    public boolean keep(Record record) {
+        try {
+            ObjectNode json = JSON.createObjectNode().put("id", id).put("text", text).put("reverting", record.reverting());
+            ArrayNode ones = json.putArray("gateways");
+            record.gateways().forEach(each -> ones.addObject().put("name", each.name()).put("from", each.from()).put("to", each.to())
+                .put("before", each.before()).put("touched", each.touched()));
+            disk.replace(RECORD, JSON.writeValueAsBytes(json));
+            return true;
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        } catch (IOException e) {
+            say.accept("the record can't be written: " + e.getMessage());
+            return false;
+        }
+    }
+
+    @Override
+    public void say(String line) {
+        say.accept(line);
+    }
+}
