Own sights kept on disk for the next process; of two sights told the younger counts

Need: a gateway that is killed and back within a second knew nothing that its peers did not, and of two who told it of one copy the first counted, however old its sight. Pools were not played by the search.

Control.learned: younger hearsay replaces older. Laboratory: pools, layouts that pass over, sights, clients that read nothing; what pools hold at the end counts as wrong. Flintlead.layout tells when it is in force. A rollout's calls to a mute gateway are bounded.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -630,8 +630,10 @@
     public void learned(long id, long function, int copies, Span age) {
         Host host = hosts.get(id);
         Moment seen = gateway.now().minus(age);
+        Mark known = host == null ? null : function(function).at(host);
         if (host != null && open(host) && age.isShorterThan(facts.idleLife())
-            && seen.isAfter(host.entry.startedAt()) && function(function).at(host) == null) {
+            && seen.isAfter(host.entry.startedAt())
+            && (known == null || known.toldOf && seen.isAfter(known.usedAt))) {
             Mark mark = function(function).mark(host);
             mark.instances = copies;
             mark.usedAt = seen;
--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import flintlead.member.Member;
 import flintlead.netty.NettyLoop;
 import flintlead.peers.OfTaker;
+import flintlead.peers.OwnSights;
 import flintlead.peers.Peers;
 import flintlead.registry.RegistryHosts;
 import flintlead.snapshot.FolderDisk;
@@ -77,6 +78,12 @@
             } else {
                 daemon.follow();
             }
+            if (installation.sights() != null) {
+                FolderDisk folder = new FolderDisk(installation.sights());
+                gateway.withTaker(taker -> new OwnSights(taker.loop(), new OfTaker(taker, daemon.log::info), folder,
+                    installation.terms().gateway(), daemon.disk,
+                    System::currentTimeMillis, installation.terms().hosts().idleLife()).begin());
+            }
             if (installation.peers() != null) {
                 daemon.keepCompany();
             }
--- a/src/main/java/flintlead/daemon/Installation.java
+++ b/src/main/java/flintlead/daemon/Installation.java
@@ -39,6 +39,7 @@
  * @param registry where the hosts come from; null for the static list
  * @param snapshots the folder that the last good list is kept in; null for nowhere
  * @param peers how it keeps company with other gateways; null for alone
+ * @param sights the folder in which it keeps what it sees itself, for its next process; null for nowhere
  * @param keyFiles of the letters between gateways, read again in service
  * @param control where an operator changes the hosts in service; null for nowhere
  * @param records the folder in which a change is written down before it is begun; null for nowhere
@@ -46,7 +47,8 @@
  */
 public record Installation(Terms terms, List<HostSpec> hosts, Layout layout, RegistryTerms registry, Path snapshots,
                            List<Address> listen, Intake.Bounds intake, FrontBounds front, LinkBounds links,
-                           Span stopGrace, PeerTerms peers, List<Path> keyFiles, Address.Unix control, Path records, Caution caution) {
+                           Span stopGrace, PeerTerms peers, List<Path> keyFiles, Address.Unix control, Path records, Caution caution,
+                           Path sights) {
 
     private static final Span SHORTEST = new Span(1);
     private static final Span LONGEST = Span.ofMillis(3_600_000);
@@ -125,10 +127,14 @@
             caution = caution(from);
             from.end();
         }
+        Path sights = top.has("sights") ? Path.of(top.text("sights", ".")) : null;
+        if (sights != null && !Files.isDirectory(sights)) {
+            top.wrong("sights", "'" + sights + "' is no folder", "make it, or leave the key out");
+        }
         top.end();
         faults.throwIfAny();
         return new Installation(terms, hosts, layout, registry, snapshots, listen, intake, front, links, grace, peers, keyFiles, control,
-            records, caution);
+            records, caution, sights);
     }
 
     private static Address.Unix control(Section from) {
--- a/src/main/java/flintlead/daemon/RolloutRun.java
+++ b/src/main/java/flintlead/daemon/RolloutRun.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.function.Consumer;
 
 /** Runs a rollout over the control sockets of gateways, from one thread, with its record on disk. */
@@ -35,12 +36,15 @@
     private static final String RECORD = "rollout.json";
     private static final String BACK = "-back";
     private static final int THREADS_MOST = 16;
+    /** Calls to one gateway that are out at once. */
+    private static final int OUT_MOST = 4;
     private static final long TURN_MS = 50;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** Answers wait here for the one thread that the rollout runs on. */
     private final BlockingQueue<Runnable> answers = new LinkedBlockingQueue<>();
     private final ExecutorService askers;
+    private final AtomicIntegerArray out;
     private final List<String> at;
     private final String id;
     private final String text;
@@ -61,6 +65,7 @@
         this.disk = disk;
         this.asker = asker;
         this.say = say;
+        this.out = new AtomicIntegerArray(at.size());
         this.askers = Executors.newFixedThreadPool(Math.min(THREADS_MOST, at.size()), task -> {
             Thread thread = new Thread(task, "rollout");
             thread.setDaemon(true);
@@ -119,13 +124,20 @@
     }
 
     private void ask(int gateway, Talk talk) {
+        if (out.incrementAndGet(gateway) > OUT_MOST) {
+            // One that does not answer is asked again and again: what waits for it must not pile up. It counts as never answered.
+            out.decrementAndGet(gateway);
+            return;
+        }
         askers.execute(() -> {
             try {
                 answers.add(talk.with(at.get(gateway)));
-            } catch (IOException e) {
-                answers.add(() -> rollout.failed(gateway, false, e.getMessage(), now()));
+            } catch (IOException | RuntimeException e) {
+                answers.add(() -> rollout.failed(gateway, false, String.valueOf(e.getMessage()), now()));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
+            } finally {
+                out.decrementAndGet(gateway);
             }
         });
     }
--- a/src/main/java/flintlead/day/Day.java
+++ b/src/main/java/flintlead/day/Day.java
@@ -14,6 +14,7 @@
 import flintlead.loop.Address;
 import flintlead.loop.Place;
 import flintlead.peers.OfTaker;
+import flintlead.peers.OwnSights;
 import flintlead.peers.PeerTerms;
 import flintlead.peers.Peers;
 import flintlead.pool.Blend;
@@ -94,6 +95,7 @@
         final Site site;
         Client client;
         boolean open;
+        boolean deaf;
         final List<Try> out = new ArrayList<>();
 
         Wire(Site site) {
@@ -316,6 +318,11 @@
             keepCompany(site);
         }
         site.gateway.withTaker(taker -> taker.layouts(blend, null));
+        ScriptedDisk kept = plan.keeps() ? whole.disk("gw-" + site.index) : null;
+        if (kept != null) {
+            site.gateway.withTaker(taker -> new OwnSights(taker.loop(), new OfTaker(taker, any -> { }), kept, "gw-" + site.index, Runnable::run, whole::epochMs,
+                plan.terms().hosts().idleLife()).begin());
+        }
         if (registry == null) {
             List<HostSpec> now;
             synchronized (list) {
@@ -377,7 +384,11 @@
                 counted.merge("flights at the end", (long) counts.flights(), Long::sum);
                 counted.merge("kept back by the ledger", counts.keptBack(), Long::sum);
                 counted.merge("answered by the ledger", counts.overdue(), Long::sum);
-                for (Sight pool : plan.ways().layout().equals(Layout.NONE) ? List.<Sight>of() : site.gateway.pools().join()) {
+                for (Sight pool : site.gateway.pools().join()) {
+                    counted.merge("in pools at the end", (long) pool.inHand(), Long::sum);
+                    if (plan.ways().layout().equals(Layout.NONE)) {
+                        continue;
+                    }
                     counted.merge("pool " + pool.name() + " taken", pool.taken(), Long::sum);
                     counted.merge("pool " + pool.name() + " guests", pool.came(), Long::sum);
                     counted.merge("pool " + pool.name() + " turned away", pool.turnedAway(), Long::sum);
@@ -533,6 +544,7 @@
         Wire wire = openWires.get(manners.nextInt(openWires.size()));
         Span timeout = wanted.hurried ? trigger.latencyObjective().times(SHORT_TIME) : trigger.clientTimeout();
         Try each = new Try(wire.site.name, trigger.name(), wanted.token, clients.now(), timeout, wanted.firstAt);
+        each.excused = wire.deaf;
         tries.add(each);
         wire.out.add(each);
         byte[] payload = ("{\"token\":\"" + wanted.token + "\",\"workMs\":" + (float) wanted.workMs + "}")
@@ -592,6 +604,20 @@
         }
     }
 
+    /** What comes late or not at all to one that does not read is not the gateway's. */
+    private void deaf(Wire wire, Span lasts) {
+        Client client = wire.client;
+        wire.deaf = true;
+        excuse(wire);
+        client.reading(false);
+        clients.after(lasts, () -> {
+            wire.deaf = false;
+            if (wire.open && wire.client == client) {
+                client.reading(true);
+            }
+        });
+    }
+
     private static void excuse(Wire wire) {
         wire.out.forEach(each -> each.excused = true);
     }
@@ -798,6 +824,8 @@
                 whole.stall(site.loop, trouble.length(),
                     () -> stalls.add(new Auditor.Stall(name, from, whole.clock())));
             });
+            case SLOW_READER -> on(clients, () -> someSites(trouble.part()).forEach(site -> site.wires.stream()
+                .filter(wire -> wire.open && traffic.nextDouble() < trouble.part()).forEach(wire -> deaf(wire, trouble.lasts()))));
             case HANG_UP -> on(clients, () -> someSites(trouble.part()).forEach(site -> site.wires.forEach(wire -> {
                 if (wire.open && traffic.nextDouble() < trouble.part()) {
                     excuse(wire);
--- a/src/main/java/flintlead/day/Plan.java
+++ b/src/main/java/flintlead/day/Plan.java
@@ -33,12 +33,13 @@
  * @param warmUp the beginning, which counts in no outcome
  * @param peers whether the gateways know of each other and learn after a start
  * @param ways the pools, and how they change
+ * @param keeps whether each gateway keeps on its disk what it saw, for its next process; in virtual time
  * @param policy who decides in the gateways; "control" is the program itself
  */
 public record Plan(String name, Span lasts, int gateways, int hosts, int zones, int cells, double perSecond,
                    int functions, int connections, int tries, Span listLag, Make make, int storeAtOnce, Terms terms,
                    List<Trouble> troubles, RegistryTerms.Protocol registry, String head, List<Machine> machines,
-                   int halls, Network network, Traffic traffic, Work work, Span warmUp, String policy, boolean peers, Ways ways) {
+                   int halls, Network network, Traffic traffic, Work work, Span warmUp, String policy, boolean peers, Ways ways, boolean keeps) {
 
     /** A kind of machine. */
     public record Machine(String kind, double share, Make make) { }
@@ -68,7 +69,7 @@
     private Plan but(int gatewaysNow, int hostsNow, double perSecondNow, List<Trouble> troublesNow, String policyNow) {
         return new Plan(name, lasts, gatewaysNow, hostsNow, zones, cells, perSecondNow, functions, connections, tries, listLag, make,
             storeAtOnce, terms, List.copyOf(troublesNow), registry, head, machines, halls, network, traffic, work, warmUp, policyNow, peers,
-            ways);
+            ways, keeps);
     }
 
     /** The machine that the host of that number is: kinds are spread evenly over the numbers, by their shares. */
@@ -158,7 +159,8 @@
             terms, troubles, top.has("registry") ? top.oneOf("registry", RegistryTerms.Protocol.ETCD) : null, head(text),
             List.copyOf(machines), top.whole("halls", 1, 1, 16), Network.read(top.section("network")),
             Traffic.read(top.section("arrivals")), Work.read(top.section("work"), make.usualWork()),
-            top.span("warmUp", NONE, NONE, LONGEST), top.text("policy", CONTROL), top.flag("peers", false), Ways.read(top));
+            top.span("warmUp", NONE, NONE, LONGEST), top.text("policy", CONTROL), top.flag("peers", false), Ways.read(top),
+            top.flag("keeps", false));
         top.end();
         faults.throwIfAny();
         return plan;
--- a/src/main/java/flintlead/day/Trouble.java
+++ b/src/main/java/flintlead/day/Trouble.java
@@ -43,6 +43,8 @@
         GIVE_UP,
         /** Clients close their connections in the middle of it and come back. */
         HANG_UP,
+        /** Clients go on asking and read no answers for a time. */
+        SLOW_READER,
         /** The store is slow, and stops for a time in the middle. */
         STORE_SLOW,
         /** Load reports stand still. */
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -100,7 +100,6 @@
 
     private final Core core;
     private final Loop loop;
-    private final Logger log;
     private final NettyLoop own;
     private final TakerOfCore taker;
     private final Intake.Source inProcess = new Intake.Source();
@@ -111,7 +110,7 @@
     private boolean closed;
 
     private Flintlead(Builder builder) {
-        log = LoggerFactory.getLogger("flintlead." + builder.terms.gateway());
+        Logger log = LoggerFactory.getLogger("flintlead." + builder.terms.gateway());
         own = builder.loop == null ? new NettyLoop(builder.terms.gateway()) : null;
         loop = own != null ? own : builder.loop;
         Transport transport = own != null ? own : builder.transport;
@@ -184,19 +183,27 @@
     /**
      * Pools and routes, in place of those before. Invocations that were taken stay in their pools to their final answers.
      *
+     * @return ends when they are in force; with an exception where too many pools of older layouts are still in use, and the layout before stays
      * @throws IllegalArgumentException when something in it is wrong; the layout before stays
      */
-    public void layout(Layout layout) {
+    public CompletableFuture<Void> layout(Layout layout) {
         List<String> faults = layout.faults();
         if (!faults.isEmpty()) {
             throw new IllegalArgumentException(String.join("; ", faults));
         }
-        post(() -> {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        boolean posted = post(() -> {
             List<String> later = core.layoutsAre(Blend.of(layout), null);
-            if (!later.isEmpty()) {
-                log.warn("the layout before stays: {}", later);
+            if (later.isEmpty()) {
+                done.complete(null);
+            } else {
+                done.completeExceptionally(new IllegalStateException(String.join("; ", later)));
             }
         });
+        if (!posted) {
+            done.completeExceptionally(new IllegalStateException("the gateway has closed"));
+        }
+        return done;
     }
 
     /** What is known of each pool; ends with an exception once the gateway has closed. */
--- a/src/main/java/flintlead/lab/Lab.java
+++ b/src/main/java/flintlead/lab/Lab.java
@@ -26,7 +26,8 @@
             if (!result.breaches().isEmpty()) {
                 return result.breaches().get(0).toString();
             }
-            for (String name : new String[] {"open at the end", "flights at the end", "kept back by the ledger"}) {
+            for (String name : new String[] {"open at the end", "flights at the end", "kept back by the ledger",
+                "in pools at the end", "pools of older layouts"}) {
                 if (result.gateways().getOrDefault(name, 0L) > 0) {
                     return result.gateways().get(name) + " " + name;
                 }
--- a/src/main/java/flintlead/pool/Board.java
+++ b/src/main/java/flintlead/pool/Board.java
@@ -403,7 +403,10 @@
                 double before = chamber.away;
                 chamber.away = 1;
                 chamber.up = false;
-                turn(chamber, before, Double.NaN);
+                if (chamber.begun) {
+                    // Before the first list nobody has hosts, and that is nothing to tell.
+                    turn(chamber, before, Double.NaN);
+                }
             }
             if (up && !chamber.begun) {
                 chamber.begun = true;
--- a/src/test/java/flintlead/ControlLearnTest.java
+++ b/src/test/java/flintlead/ControlLearnTest.java
@@ -32,6 +32,16 @@
         return fleet.take(Fleet.IDEMPOTENT, FN, 3_000).outs.get(0).host;
     }
 
+    /** A younger sight goes before an older one that was told first; neither before what was seen here. */
+    @Test
+    void ofTwoThatWereToldTheYoungerCounts() {
+        fleet.control.learned(away(), FN, 1, Span.ofMillis(7_900));
+        fleet.control.learned(away(), FN, 1, LATELY);
+        fleet.control.learned(away(), FN, 1, Span.ofMillis(7_800));
+        fleet.pass(1_000);
+        assertEquals(away(), goesTo(), "the older two have lapsed by now");
+    }
+
     @Test
     void aSightOfAnotherIsFollowed() {
         fleet.control.learned(away(), FN, 1, LATELY);
--- a/src/test/java/flintlead/daemon/RolloutServiceTest.java
+++ b/src/test/java/flintlead/daemon/RolloutServiceTest.java
@@ -167,6 +167,27 @@
         }
     }
 
+    /** What waits for a gateway that never answers is bounded, and it is given up. */
+    @Test
+    void oneThatNeverAnswersIsAskedAFewTimesAtOnce() throws Exception {
+        java.util.concurrent.atomic.AtomicInteger now = new java.util.concurrent.atomic.AtomicInteger();
+        java.util.concurrent.atomic.AtomicInteger most = new java.util.concurrent.atomic.AtomicInteger();
+        RolloutRun.Asker mute = (address, method, params) -> {
+            most.accumulateAndGet(now.incrementAndGet(), Math::max);
+            try {
+                java.util.concurrent.locks.LockSupport.parkNanos(400_000_000L);
+                throw new IllegalStateException("no answer in time");
+            } finally {
+                now.decrementAndGet();
+            }
+        };
+        Rollout rollout = new RolloutRun(List.of("unix:/a", "unix:/b"), "r", list("w-1"), PACE, new FolderDisk(folder.resolve("rollout")), mute, said::add)
+            .run(LONG);
+        assertEquals(Rollout.Stage.REVERTED, rollout.stage());
+        assertTrue(rollout.why().contains("can't be reached"), rollout.why());
+        assertTrue(most.get() <= 2, "asked at once: " + most.get() + ", as there are two threads");
+    }
+
     @Test
     void whatIsFencedOrExpectsAnotherVersionIsRefused() throws Exception {
         assertTrue(ask(at.get(0), "apply", Map.of("hosts", list("w-2"), "expects", "0123")).path("error").path("message").asText().contains("was expected"));
--- a/src/test/java/flintlead/lab/LabTest.java
+++ b/src/test/java/flintlead/lab/LabTest.java
@@ -75,6 +75,25 @@
         assertNull(ill.found(), () -> ill.found().wrong() + "\n" + Swarm.file(ill.found()));
     }
 
+    private static final String POOLS = """
+        keeps: true
+        peers: true
+        pools: [{name: a, zones: [0], spillTo: [b]}, {name: b, zones: [1], least: 2, spillTo: [a]}]
+        routes: [{functions: ["fn-check-*"], to: a}, {split: [{pool: a, share: 1}, {pool: b, share: 3}]}]
+        shift: {at: 1500ms, steps: 3, every: 400ms, back: 3200ms, pools: [{name: a, hosts: ["w-*1", "w-*2"]}, {name: b}], routes: [{functions: ["fn-lodge-*"], to: a}, {to: b}]}
+        """;
+
+    /** The same with pools that are lost, spill and change hosts under what is out, and clients that read nothing. */
+    @Test
+    void daysByChanceWithPoolsGoWell() throws Exception {
+        Swarm.Search search = new Swarm(plan(POOLS)).search(300_000, 40, Span.ofMillis(100_000), 4);
+        assertNull(search.found(), () -> search.found().wrong() + "\n" + Swarm.file(search.found()));
+        assertEquals(40, search.days());
+        Lab.Run run = Lab.run(plan(POOLS + ROUGH), 9);
+        assertEquals(run.sum(), Lab.run(plan(POOLS + ROUGH), 9).sum());
+        assertNull(run.wrong(), "and none of an older layout is left over at the end");
+    }
+
     /** Found by the search: a host that stood still judged a repeat by a memory that had gone on without it. */
     @Test
     void aPausedHostKnowsARepeatByWhenItCame() throws Exception {
--- a/src/test/java/flintlead/pool/BoardTest.java
+++ b/src/test/java/flintlead/pool/BoardTest.java
@@ -282,6 +282,45 @@
         assertEquals(0, sight("a").guests(), "and sends nothing to one without hosts");
     }
 
+    /** One that can't serve its own is no help to others: what it let in would be lost there, and stand in its own way. */
+    @Test
+    void aPoolThatSendsItsOwnAwayTakesNoGuests() {
+        begin(spilling());
+        for (int i = 0; i < 12; i++) {
+            round("y", End.GOOD, End.BAD);
+        }
+        board.hosts(hosts(0, 4));
+        assertTrue(sight("b").away() > 0);
+        for (int i = 0; i < 400; i++) {
+            assertEquals("a", goes(wish("x" + i)));
+        }
+    }
+
+    /** The answers of a pool that tips over come too late to tell of it; what it has in hand does not. */
+    @Test
+    void aPoolWithMoreInHandThanWhenItWasCalmTakesNoGuests() {
+        begin(spilling());
+        for (int i = 0; i < 100; i++) {
+            round("y", End.GOOD, End.GOOD);
+        }
+        board.hosts(hosts(0, 4));
+        List<Seat> stuck = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            stuck.add(board.take(wish("y" + i), now));
+        }
+        int before = 0;
+        for (int i = 0; i < 400; i++) {
+            before += goes(wish("x" + i)).equals("b") ? 1 : 0;
+        }
+        assertTrue(before > 50 && before < 150, "a quarter of them, as much in hand as ever: " + before);
+        for (int i = 0; i < 60; i++) {
+            stuck.add(board.take(wish("y" + i), now));
+        }
+        for (int i = 0; i < 400; i++) {
+            assertEquals("a", goes(wish("x" + i)), "more than ever");
+        }
+    }
+
     @Test
     void aFullPoolSendsElsewhereThenRefuses() {
         begin(new Layout(List.of(pool("a", 3, "b"), pool("b", 4)), List.of(Route.all("a"))));
