Tests of a rollout that two guards survived without

Cause: with the fence not waited for, or lost gateways not counted, every test of the rollout still passed. Change: a test that what is said before the fence does not count, and the reason of a rollout that loses half of its gateways. Measured: RolloutTest green; it fails with either guard taken out.

--- a/src/test/java/flintlead/rollout/RolloutTest.java
+++ b/src/test/java/flintlead/rollout/RolloutTest.java
@@ -281,6 +281,7 @@
         many.gates.forEach(gate -> gate.up = true);
         many.runToEnd();
         assertEquals(Stage.REVERTED, many.rollout.stage());
+        assertTrue(many.rollout.why().contains("too many can't be reached"), many.rollout.why());
         assertEquals(20, many.with("A"));
     }
 
@@ -322,6 +323,24 @@
         assertEquals(2, world.with("A"));
     }
 
+    /** What a gateway said before it was fenced does not tell what it will still take. */
+    @Test
+    void onlyWhatIsSaidBehindTheFenceCounts() {
+        World world = new World(1, 10);
+        while (world.rollout.stage() == Stage.CHECKING) {
+            world.run(10);
+        }
+        world.mail.clear();
+        world.rollout.revert("test");
+        Standing asItWas = new Standing(true, "A", 0, "none yet", 0, 0);
+        world.rollout.told(0, asItWas, false, world.now);
+        world.rollout.wake(world.now);
+        assertEquals(Stage.REVERTING, world.rollout.stage());
+        world.rollout.told(0, asItWas, true, world.now);
+        world.rollout.wake(world.now);
+        assertEquals(Stage.REVERTED, world.rollout.stage());
+    }
+
     // ---- whatever happens ----
 
     /**
