On reading the change again: two methods that nothing called are gone

Cause: Selector.names and GatewayFile.isPlain were left over from earlier forms of the importer and the layout's checks. Change: both removed. Measured: ImporterTest, BoardTest, LayoutTest and LayersTest green.

--- a/src/main/java/flintlead/haproxy/GatewayFile.java
+++ b/src/main/java/flintlead/haproxy/GatewayFile.java
@@ -1,7 +1,6 @@
 package flintlead.haproxy;
 
 import flintlead.pool.Layout;
-import flintlead.pool.Pattern;
 import flintlead.pool.Route;
 import flintlead.time.Span;
 import java.util.ArrayList;
@@ -253,11 +252,6 @@
         return !routes.isEmpty() && routes.get(routes.size() - 1).meetsAll();
     }
 
-    /** A name of an ACL's or a backend's as it may stand in a list of patterns. */
-    static boolean isPlain(String name) {
-        return !name.isEmpty() && name.indexOf(Pattern.STAR) < 0 && name.chars().noneMatch(Character::isISOControl);
-    }
-
     /** As JSON writes a string, which YAML reads alike. */
     static String quoted(String text) {
         StringBuilder quoted = new StringBuilder("\"");
--- a/src/main/java/flintlead/pool/Selector.java
+++ b/src/main/java/flintlead/pool/Selector.java
@@ -20,9 +20,4 @@
         return (hosts.isEmpty() || hosts.stream().anyMatch(each -> each.meets(host)))
             && (zones.isEmpty() || zones.contains(zone)) && (kinds.isEmpty() || kinds.contains(kind));
     }
-
-    /** Whether it asks for single hosts by their whole names. */
-    boolean names(String host) {
-        return hosts.stream().anyMatch(each -> each.text().equals(host));
-    }
 }
