--- /dev/null
+++ b/deploy/platform.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Starts one gateway of the platform within the memory that its configuration allows. The JVM must know its bounds
+# before it starts; the limit counts everything, so the heap is less than half of it.
+set -eu
+memory=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9]*\).*/\1/p' "$ROUTER_CONFIG" | head -n 1)
+memory=${memory:-64}
+if [ "$memory" -ge 160 ]; then heap=64; code=24
+elif [ "$memory" -ge 96 ]; then heap=32; code=16
+elif [ "$memory" -ge 64 ]; then heap=16; code=12
+else heap=8; code=6
+fi
+export MALLOC_ARENA_MAX=1
+exec java -Xms${heap}m -Xmx${heap}m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=${code}m \
+  -XX:MaxMetaspaceSize=40m -XX:MaxDirectMemorySize=8m -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError -Xshare:auto \
+  -Dio.netty.allocator.type=unpooled -Dio.netty.noPreferDirect=true -Djdk.nio.maxCachedBufferSize=65536 \
+  -Dslf4j.provider=org.slf4j.helpers.NOP_FallbackServiceProvider -jar target/flintlead.jar platform
--- a/src/main/java/flintlead/benchlink/BenchLink.java
+++ b/src/main/java/flintlead/benchlink/BenchLink.java
@@ -1,5 +1,6 @@
 package flintlead.benchlink;
 
+import flintlead.facts.StartupFacts;
 import flintlead.port.Call;
 import flintlead.port.HostEntry;
 import flintlead.port.Outcome;
@@ -118,7 +119,7 @@
             long seed = in.getLong();
             byte[] text = new byte[checked(in.getInt(), in.remaining() + 1, "settings length")];
             in.get(text);
-            var deployment = StartupText.read(new String(text, StandardCharsets.UTF_8));
+            var deployment = StartupFacts.ofLines(new String(text, StandardCharsets.UTF_8)).deployment();
             instances.put(number, new Instance(number, reply, clock, deployment, seed));
             return;
         }
--- a/src/main/java/flintlead/cli/Main.java
+++ b/src/main/java/flintlead/cli/Main.java
@@ -10,7 +10,7 @@
     private Main() {
     }
 
-    /** The bench's link is started before any library is opened: it is to need none and to begin at once. */
+    /** The bench's link and the platform's gateway are started before any library is opened: it is to need none and to begin at once. */
     public static void main(String[] args) {
         if (args.length == 1 && args[0].equals("benchlink")) {
             try {
@@ -21,6 +21,9 @@
             }
             return;
         }
+        if (args.length == 1 && args[0].equals("platform")) {
+            System.exit(flintlead.platform.Main.run());
+        }
         System.exit(Commands.run(args));
     }
 }
--- a/src/main/java/flintlead/benchlink/StartupText.java
+++ b/src/main/java/flintlead/facts/StartupFacts.java
@@ -1,4 +1,4 @@
-package flintlead.benchlink;
+package flintlead.facts;
 
 import flintlead.port.Deployment;
 import flintlead.port.TriggerType;
@@ -7,24 +7,59 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.StringJoiner;
 
-/** Reads the path=value lines an instance is born with. */
-final class StartupText {
+/** What an instance or a gateway is told at its start, by paths such as {@code services.0.worth}. */
+public final class StartupFacts {
 
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values;
 
-    private StartupText(String text) {
+    private StartupFacts(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** From lines of path=value; other lines are passed over. */
+    public static StartupFacts ofLines(String text) {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int equals = line.indexOf('=');
             if (equals > 0) {
                 values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
             }
         }
+        return new StartupFacts(values);
+    }
+
+    /** From nested maps and lists, as JSON holds them: a list of texts is joined by commas, one of maps is counted. */
+    public static StartupFacts ofNested(Map<?, ?> nested) {
+        Map<String, String> values = new HashMap<>();
+        flatten("", nested, values);
+        return new StartupFacts(values);
     }
 
-    /** An unknown key is ignored and an absent one is zero, false or empty; a value that can't be read throws. */
-    static Deployment read(String text) {
-        StartupText facts = new StartupText(text);
+    private static void flatten(String at, Object value, Map<String, String> into) {
+        if (value instanceof Map<?, ?> members) {
+            members.forEach((key, member) -> flatten(at.isEmpty() ? key.toString() : at + "." + key, member, into));
+        } else if (value instanceof List<?> list) {
+            into.put(at + ".count", Integer.toString(list.size()));
+            StringJoiner joined = new StringJoiner(",");
+            for (int i = 0; i < list.size(); i++) {
+                flatten(at + "." + i, list.get(i), into);
+                joined.add(String.valueOf(list.get(i)));
+            }
+            into.put(at, joined.toString());
+        } else if (value != null) {
+            into.put(at, value.toString());
+        }
+    }
+
+    /**
+     * An unknown key is ignored and an absent one is zero, false or empty.
+     *
+     * @throws IllegalArgumentException with the key of a value that can't be read
+     */
+    public Deployment deployment() {
+        StartupFacts facts = this;
         List<TriggerType> types = new ArrayList<>();
         for (int i = 0; i < (int) facts.number("services.count"); i++) {
             types.add(facts.triggerType("services." + i + "."));
@@ -66,11 +101,27 @@
         return value.equals(values.get(key));
     }
 
+    /** The names of a list of named things, in order. */
+    public List<String> names(String list) {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < (int) number(list + ".count"); i++) {
+            names.add(values.getOrDefault(list + "." + i + ".name", ""));
+        }
+        return names;
+    }
+
+    /** A list of texts; empty where there is none. */
+    public List<String> texts(String key) {
+        String joined = values.getOrDefault(key, "");
+        return joined.isEmpty() ? List.of() : List.of(joined.split(","));
+    }
+
     private boolean flag(String key) {
         return is(key, "true");
     }
 
-    private double number(String key) {
+    /** @throws IllegalArgumentException when it is none */
+    public double number(String key) {
         String value = values.get(key);
         try {
             return value == null || value.isEmpty() ? 0 : Double.parseDouble(value);
@@ -79,7 +130,7 @@
         }
     }
 
-    private Span span(String key) {
+    public Span span(String key) {
         return new Span((long) number(key));
     }
 }
--- /dev/null
+++ b/src/main/java/flintlead/platform/Flight.java
@@ -0,0 +1,47 @@
+package flintlead.platform;
+
+import flintlead.platform.front.Taker;
+import flintlead.platform.link.Errand;
+import flintlead.platform.link.HostWay;
+import flintlead.port.Handle;
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One invocation from its taking until nothing more can happen to it. */
+final class Flight {
+
+    /** One dispatch of it. */
+    static final class Sent {
+        final Moment at;
+        HostWay way;
+        Errand errand;
+        Runnable timer = () -> { };
+        Outcome outcome;
+
+        Sent(Moment at) {
+            this.at = at;
+        }
+    }
+
+    final long number;
+    final String id;
+    final String function;
+    final String triggerType;
+    final String token;
+    final byte[] body;
+    final Taker.Client client;
+    final List<Sent> dispatches = new ArrayList<>(2);
+    Handle handle;
+
+    Flight(long number, String id, String function, String triggerType, String token, byte[] body, Taker.Client client) {
+        this.number = number;
+        this.id = id;
+        this.function = function;
+        this.triggerType = triggerType;
+        this.token = token;
+        this.body = body;
+        this.client = client;
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/Main.java
@@ -0,0 +1,45 @@
+package flintlead.platform;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import sun.misc.Signal;
+
+/** The program {@code flintlead.jar platform}. */
+public final class Main {
+
+    private static final int BAD_CONFIGURATION = 2;
+
+    private Main() {
+    }
+
+    /** Serves until SIGTERM; gives back the exit code. */
+    public static int run() {
+        // Before all else: a JVM ends on SIGHUP.
+        Platform[] platform = new Platform[1];
+        Signal.handle(new Signal("HUP"), signal -> {
+            synchronized (platform) {
+                if (platform[0] != null) {
+                    platform[0].reload();
+                }
+            }
+        });
+        String file = System.getenv("ROUTER_CONFIG");
+        if (file == null || file.isEmpty()) {
+            System.err.println("flintlead: ROUTER_CONFIG is not set");
+            return BAD_CONFIGURATION;
+        }
+        try {
+            Platform made = new Platform(Path.of(file), line -> System.err.println("flintlead: " + line));
+            System.err.println("flintlead: listens at " + made.start());
+            synchronized (platform) {
+                platform[0] = made;
+            }
+            Signal.handle(new Signal("TERM"), signal -> made.end());
+            made.join();
+            return 0;
+        } catch (IllegalArgumentException | IOException e) {
+            System.err.println("flintlead: " + e.getMessage());
+            return BAD_CONFIGURATION;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -0,0 +1,422 @@
+package flintlead.platform;
+
+import flintlead.Control;
+import flintlead.admission.Intake;
+import flintlead.ledger.Ledger;
+import flintlead.loop.Loop;
+import flintlead.platform.front.Taker;
+import flintlead.platform.journal.HostEvents;
+import flintlead.platform.link.Errand;
+import flintlead.platform.link.Fields;
+import flintlead.platform.link.HostWay;
+import flintlead.platform.link.HostWays;
+import flintlead.port.Call;
+import flintlead.port.Deployment;
+import flintlead.port.Dispatcher;
+import flintlead.port.Gateway;
+import flintlead.port.HostEntry;
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/** Tells {@link Control} what happens on the platform's sockets and does what it asks; decides nothing. */
+final class PlatformGateway implements Gateway, Taker, HostEvents.Listener {
+
+    private static final Span SWEEP = Span.ofMillis(50);
+    private static final int CROWD_MOST = 30;
+    /** Requests of one client connection are one at a time: no connection needs a threshold of its own. */
+    private static final double SHARE = 1_000;
+
+    private final Loop loop;
+    private final HostWays ways;
+    private final Deployment deployment;
+    private final List<String> types;
+    private final Span probeWait;
+    private final Consumer<String> log;
+    private final Intake intake;
+    private final Ledger<Consumer<Taker.Client>> ledger;
+    private final Map<Long, Flight> flights = new HashMap<>();
+    private final Dispatcher dispatcher;
+    /** Hosts that the list has. */
+    private final Set<Long> listed = new TreeSet<>();
+    private long tags;
+    private Runnable whenEmpty;
+
+    /**
+     * @param types the trigger types as the wire names them
+     * @param bounds of what is taken
+     */
+    PlatformGateway(Loop loop, HostWays ways, Deployment deployment, List<String> types, Span probeWait, Intake.Bounds bounds,
+                    long seed, Consumer<String> log) {
+        this.loop = loop;
+        this.ways = ways;
+        this.deployment = deployment;
+        this.types = types;
+        this.probeWait = probeWait;
+        this.log = log;
+        Random random = new Random(seed);
+        this.intake = new Intake(bounds, new Random(random.nextLong()));
+        this.ledger = new Ledger<>(deployment.answerSlack(), log);
+        this.dispatcher = new Control(this, deployment, random.nextLong());
+        sweep();
+    }
+
+    // ---- invocations ----
+
+    @Override
+    public boolean isOpen(long invocation) {
+        return flights.containsKey(invocation);
+    }
+
+    @Override
+    public Span comeBack() {
+        return intake.comeBack();
+    }
+
+    @Override
+    public void take(long number, String id, String function, Call call, String token, ByteBuf body, Client client) {
+        Intake.Source source = new Intake.Source();
+        int size = body.readableBytes();
+        if (!intake.take(source, size)) {
+            client.throttled(comeBack());
+            return;
+        }
+        Flight flight = new Flight(number, id, function, types.get(call.triggerType()), token, ByteBufUtil.getBytes(body), client);
+        flights.put(number, flight);
+        ledger.open(number, now().plus(call.left()), answer -> {
+            intake.done(source, size);
+            answer.accept(client);
+        });
+        flight.handle = dispatcher.take(number, call);
+        forget(flight);
+    }
+
+    @Override
+    public void left(long invocation) {
+        Flight flight = flights.get(invocation);
+        if (flight != null && ledger.isOpen(invocation)) {
+            // Answered to nobody: what it held is given back by the same way.
+            ledger.answer(invocation, client -> { });
+            flight.handle.hungUp();
+            forget(flight);
+        }
+    }
+
+    private void answer(Flight flight, Consumer<Taker.Client> answer) {
+        ledger.answer(flight.number, answer);
+        forget(flight);
+    }
+
+    private void forget(Flight flight) {
+        if (flight.handle != null && flight.handle.isOver() && !ledger.isOpen(flight.number)
+            && flight.dispatches.stream().allMatch(sent -> sent.outcome != null)) {
+            flights.remove(flight.number);
+            if (whenEmpty != null && flights.isEmpty()) {
+                whenEmpty.run();
+            }
+        }
+    }
+
+    /** Runs it as soon as nothing is under way. */
+    void whenEmpty(Runnable then) {
+        whenEmpty = then;
+        if (flights.isEmpty()) {
+            then.run();
+        }
+    }
+
+    /** The last guard: whatever went wrong above, each invocation is answered when its time is up. */
+    private void sweep() {
+        loop.after(SWEEP, () -> {
+            for (long late : ledger.overdue(now())) {
+                Flight flight = flights.get(late);
+                flight.handle.giveUp();
+                if (ledger.isOpen(late)) {
+                    answer(flight, Client::errored);
+                }
+            }
+            sweep();
+        });
+    }
+
+    // ---- what Control asks ----
+
+    @Override
+    public Moment now() {
+        return loop.now();
+    }
+
+    @Override
+    public Runnable at(Moment when, Runnable then) {
+        return loop.at(when, then);
+    }
+
+    @Override
+    public void dispatch(long invocation, long host, Moment abandonAt) {
+        Flight flight = flights.get(invocation);
+        int number = flight.dispatches.size();
+        Flight.Sent sent = new Flight.Sent(now());
+        flight.dispatches.add(sent);
+        sent.way = ways.to(host);
+        sent.errand = new Errand(flight.id) {
+            @Override
+            protected void write(ByteBuf out) {
+                StringBuilder line = new StringBuilder(160).append("fire ").append(flight.id).append(" cls=").append(flight.triggerType)
+                    .append(",item=").append(flight.function).append(",limit=")
+                    .append(Math.max(1, abandonAt.since(now()).micros() / 1000));
+                if (flight.token != null) {
+                    line.append(",nonce=").append(flight.token);
+                }
+                line.append(' ').append(flight.body.length).append("\r\n");
+                out.writeCharSequence(line, StandardCharsets.US_ASCII);
+                out.writeBytes(flight.body).writeByte('\r').writeByte('\n');
+            }
+
+            @Override
+            protected void ended(Outcome outcome, Fields fields, ByteBuf body) {
+                PlatformGateway.this.ended(flight, number, outcome, fields, body);
+            }
+        };
+        if (sent.way == null) {
+            at(now(), () -> ended(flight, number, Outcome.CONNECT_FAILED, null, null));
+            return;
+        }
+        sent.timer = at(abandonAt, () -> withdraw(flight, number, Outcome.TIMEOUT));
+        sent.way.run(sent.errand);
+    }
+
+    private void ended(Flight flight, int number, Outcome outcome, Fields fields, ByteBuf body) {
+        Flight.Sent sent = flight.dispatches.get(number);
+        if (sent.outcome != null) {
+            return;
+        }
+        sent.outcome = outcome;
+        sent.timer.run();
+        boolean open = ledger.isOpen(flight.number);
+        if (outcome == Outcome.OK && open) {
+            ledger.answer(flight.number, client -> client.succeeded(body));
+            open = false;
+        }
+        flight.handle.ended(number, outcome, now().since(sent.at), !open, remark(outcome, fields), report(fields));
+        forget(flight);
+    }
+
+    /** The wire's note: 1 to 3 how a copy was found, 4 a failed load, and eight times the crowd. */
+    private int remark(Outcome outcome, Fields fields) {
+        String note = fields == null ? null : fields.get("tell");
+        int found = note == null ? 0 : switch (note) {
+            case "hot" -> 1;
+            case "started" -> 2;
+            case "waited" -> 3;
+            case "broken" -> 4;
+            default -> 0;
+        };
+        if (outcome == Outcome.ERROR || outcome == Outcome.MISS) {
+            return found == 4 ? 4 : 0;
+        }
+        boolean told = outcome == Outcome.OK || outcome == Outcome.FULL;
+        int crowd = fields == null || !told || !deployment.tellsCrowd() ? 0 : Math.min(CROWD_MOST, fields.number("ahead", 0));
+        return (told && found < 4 ? found : 0) + 8 * crowd;
+    }
+
+    private float[] report(Fields fields) {
+        List<String> names = deployment.reportNames();
+        if (fields == null || names.isEmpty() || fields.get("meter") == null) {
+            return new float[0];
+        }
+        float[] report = new float[names.size()];
+        for (int i = 0; i < report.length; i++) {
+            float figure = fields.reported(names.get(i));
+            report[i] = Float.isFinite(figure) ? figure : 0;
+        }
+        return report;
+    }
+
+    @Override
+    public void cancel(long invocation, int dispatch) {
+        Flight flight = flights.get(invocation);
+        if (flight != null) {
+            withdraw(flight, dispatch, Outcome.CANCELLED);
+        }
+    }
+
+    private void withdraw(Flight flight, int number, Outcome ifSent) {
+        Flight.Sent sent = flight.dispatches.get(number);
+        if (sent.outcome == null) {
+            // What never left can't have run, whatever ended the wait for it.
+            boolean unsent = sent.way == null || sent.way.withdraw(sent.errand);
+            at(now(), () -> ended(flight, number, unsent ? Outcome.MOOT : ifSent, null, null));
+        }
+    }
+
+    @Override
+    public void throttle(long invocation, Span retryIn) {
+        answer(flights.get(invocation), client -> client.throttled(retryIn));
+    }
+
+    @Override
+    public void fail(long invocation) {
+        answer(flights.get(invocation), Client::errored);
+    }
+
+    @Override
+    public void load(long host, long function, int copies) {
+        Moment asked = now();
+        HostWay way = ways.to(host);
+        if (way == null) {
+            at(asked, () -> dispatcher.loaded(host, function, Outcome.CONNECT_FAILED, Span.ZERO, 0));
+            return;
+        }
+        Errand order = new Tagged("provision", "item=" + hex(function) + ",units=" + copies) {
+            @Override
+            protected void ended(Outcome outcome, Fields fields, ByteBuf body) {
+                dispatcher.loaded(host, function, outcome, now().since(asked), fields.number("units", 0));
+            }
+        };
+        at(asked.plus(deployment.loadWait()), () -> {
+            if (!order.isOver()) {
+                way.withdraw(order);
+                dispatcher.loaded(host, function, Outcome.TIMEOUT, now().since(asked), 0);
+            }
+        });
+        way.run(order);
+    }
+
+    @Override
+    public void unload(long host, long function) {
+        HostWay way = ways.to(host);
+        if (way != null) {
+            way.tell("retire " + hex(function));
+        }
+    }
+
+    @Override
+    public void probe(long host) {
+        Moment asked = now();
+        HostWay way = ways.to(host);
+        if (way == null) {
+            at(asked, () -> dispatcher.probed(host, Outcome.CONNECT_FAILED, Span.ZERO, new float[0]));
+            return;
+        }
+        Errand probe = new Tagged("busy", "") {
+            @Override
+            protected void ended(Outcome outcome, Fields fields, ByteBuf body) {
+                dispatcher.probed(host, outcome, now().since(asked), report(fields));
+            }
+        };
+        at(asked.plus(probeWait), () -> {
+            if (!probe.isOver()) {
+                way.withdraw(probe);
+                dispatcher.probed(host, Outcome.TIMEOUT, now().since(asked), new float[0]);
+            }
+        });
+        way.run(probe);
+    }
+
+    /** A command under a tag of the gateway's own. */
+    private abstract class Tagged extends Errand {
+        private final String command;
+        private final String rest;
+
+        Tagged(String command, String rest) {
+            super("g" + Long.toString(tags++, 36));
+            this.command = command;
+            this.rest = rest;
+        }
+
+        @Override
+        protected void write(ByteBuf out) {
+            out.writeCharSequence(command + " " + tag() + (rest.isEmpty() ? "" : " " + rest) + "\r\n", StandardCharsets.US_ASCII);
+        }
+
+        @Override
+        protected boolean canBeRecalled() {
+            return false;
+        }
+    }
+
+    private static String hex(long function) {
+        String digits = Long.toHexString(function);
+        return "0".repeat(16 - digits.length()) + digits;
+    }
+
+    @Override
+    public void closeIdle(long host) {
+        HostWay way = ways.to(host);
+        if (way != null) {
+            way.closeIdle();
+        }
+    }
+
+    @Override
+    public void follow(boolean active) {
+        // The journal is followed from the start.
+    }
+
+    @Override
+    public void fetchHosts() {
+        // As for follow.
+    }
+
+    @Override
+    public void tell(int gateway, byte[] words) {
+        // The platform gives gateways no way to each other.
+    }
+
+    @Override
+    public void tellAll(byte[] words) {
+        // As for tell.
+    }
+
+    @Override
+    public void log(String line) {
+        log.accept("control: " + line);
+    }
+
+    // ---- hosts ----
+
+    @Override
+    public void whole(List<HostEvents.Listed> hosts) {
+        List<HostEntry> entries = new ArrayList<>();
+        List<Long> missing = new ArrayList<>(listed);
+        for (HostEvents.Listed host : hosts) {
+            entries.add(host.entry());
+            missing.remove(host.entry().host());
+            lead(host);
+        }
+        missing.forEach(this::gone);
+        dispatcher.hostsAre(entries);
+    }
+
+    @Override
+    public void changed(List<HostEvents.Listed> hosts) {
+        hosts.forEach(this::lead);
+        dispatcher.hostsChanged(hosts.stream().map(HostEvents.Listed::entry).toList());
+    }
+
+    private void lead(HostEvents.Listed host) {
+        long number = host.entry().host();
+        if (host.entry().state() == HostEntry.State.GONE) {
+            gone(number);
+        } else {
+            listed.add(number);
+            ways.listed(number, host.name(), host.address(), host.entry().state() == HostEntry.State.DRAINING);
+        }
+    }
+
+    private void gone(long host) {
+        listed.remove(host);
+        ways.left(host);
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/front/Front.java
@@ -0,0 +1,124 @@
+package flintlead.platform.front;
+
+import flintlead.admission.Doorkeeper;
+import flintlead.loop.Address;
+import flintlead.loop.Loop;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.loop.Transport;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** The socket of the gateway's clients. */
+public final class Front {
+
+    private static final Span LOOK_ROUND = Span.ofMillis(100);
+    /** A connection this young makes no room for another: its request may be on the way. */
+    private static final Span IDLE_LEAST = Span.ofMillis(150);
+
+    final Loop loop;
+    final Taker taker;
+    final CallReader reader;
+    final Doorkeeper<ClientConnection> door;
+    private final Transport transport;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private Transport.Listening listening;
+    private boolean closing;
+    private boolean ended;
+
+    /** @param connections of clients at once */
+    public Front(Loop loop, Transport transport, Taker taker, CallReader reader, int connections) {
+        this.loop = loop;
+        this.transport = transport;
+        this.taker = taker;
+        this.reader = reader;
+        this.door = new Doorkeeper<>(connections, IDLE_LEAST);
+    }
+
+    /**
+     * Not from the loop, as it waits for the port.
+     *
+     * @return where it listens
+     * @throws IOException when the address can't be bound
+     */
+    public Address listen(Address at) throws IOException {
+        listening = transport.listen(at, this::accept);
+        loop.execute(this::lookRound);
+        return listening.address();
+    }
+
+    private StreamListener accept(Stream stream) {
+        Moment now = loop.now();
+        Doorkeeper<ClientConnection>.Guest idle = door.toClose(now);
+        if (idle != null) {
+            idle.connection().close();
+        }
+        if (!door.admits(now)) {
+            return new TurnedAway(stream);
+        }
+        ClientConnection connection = new ClientConnection(this, stream);
+        connections.add(connection);
+        return connection;
+    }
+
+    void gone(ClientConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void lookRound() {
+        Moment now = loop.now();
+        new ArrayList<>(connections).forEach(connection -> connection.check(now));
+        if (!ended) {
+            loop.after(LOOK_ROUND, this::lookRound);
+        }
+    }
+
+    /** Whether a client is to be told that its connection ends with its answer. */
+    boolean isClosing() {
+        return closing;
+    }
+
+    /** No new connections; those there are end with their answers. */
+    public void close() {
+        closing = true;
+        if (listening != null) {
+            listening.close();
+        }
+        new ArrayList<>(connections).forEach(ClientConnection::closeIfIdle);
+    }
+
+    /** Everything ends at once. */
+    public void end() {
+        ended = true;
+        close();
+        new ArrayList<>(connections).forEach(ClientConnection::close);
+    }
+
+    public int connections() {
+        return connections.size();
+    }
+
+    /** One connection over the bound. */
+    private record TurnedAway(Stream stream) implements StreamListener {
+
+        @Override
+        public void opened() {
+            stream.close();
+        }
+
+        @Override
+        public void received(ByteBuf bytes) {
+            // Nothing is read of one that is turned away.
+        }
+
+        @Override
+        public void closed(String why) {
+            // Nothing of it is kept.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/journal/HostEvents.java
@@ -0,0 +1,124 @@
+package flintlead.platform.journal;
+
+import flintlead.ids.Ids;
+import flintlead.loop.Address;
+import flintlead.port.HostEntry;
+import flintlead.time.Moment;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * The numbered events of the host list, in their order: one told twice is passed over, one that is missing ends the telling
+ * until it has come. Pure.
+ */
+public final class HostEvents {
+
+    private static final long UNIX_MS_MOST = 1L << 52;
+
+    /** One line of the list. */
+    public record Listed(String name, Address address, HostEntry entry) { }
+
+    /** What an event says. */
+    public interface Listener {
+
+        /** The whole list: a host that is missing has left. */
+        void whole(List<Listed> hosts);
+
+        void changed(List<Listed> hosts);
+    }
+
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Function<Long, Moment> unixMillis;
+    private final Listener listener;
+    private long last;
+
+    /** @param unixMillis turns a Unix millisecond into a moment of the gateway's clock */
+    public HostEvents(List<String> zones, List<String> kinds, Function<Long, Moment> unixMillis, Listener listener) {
+        this.zones = zones;
+        this.kinds = kinds;
+        this.unixMillis = unixMillis;
+        this.listener = listener;
+    }
+
+    /** The number of the last event that was applied. */
+    public long last() {
+        return last;
+    }
+
+    /**
+     * Applies the event if it is the next one.
+     *
+     * @return false where events before it are missing
+     * @throws IllegalArgumentException when it can't be read; nothing of it is applied then
+     */
+    public boolean event(Object event) {
+        Map<?, ?> members = map(event, "an event");
+        long pos = number(members.get("pos"), "pos");
+        if (pos <= last) {
+            return true;
+        }
+        if (pos > last + 1) {
+            return false;
+        }
+        Map<?, ?> hosts = map(members.get("hosts"), "hosts");
+        List<Listed> listed = new ArrayList<>();
+        if (!(hosts.get("endpoints") instanceof List<?> endpoints)) {
+            throw new IllegalArgumentException("hosts.endpoints is no list");
+        }
+        for (Object endpoint : endpoints) {
+            listed.add(listed(map(endpoint, "an endpoint")));
+        }
+        boolean whole = Boolean.TRUE.equals(hosts.get("snapshot"));
+        last = pos;
+        if (whole) {
+            listener.whole(listed);
+        } else {
+            listener.changed(listed);
+        }
+        return true;
+    }
+
+    private Listed listed(Map<?, ?> endpoint) {
+        String name = text(endpoint, "name");
+        HostEntry.State state = switch (text(endpoint, "status")) {
+            case "active" -> HostEntry.State.READY;
+            case "leaving" -> HostEntry.State.DRAINING;
+            case "left" -> HostEntry.State.GONE;
+            default -> throw new IllegalArgumentException("endpoint " + name + ": unknown status");
+        };
+        long since = endpoint.get("since_ms") == null ? 0 : number(endpoint.get("since_ms"), "since_ms");
+        if (since < 0 || since > UNIX_MS_MOST) {
+            throw new IllegalArgumentException("endpoint " + name + ": since_ms is out of range");
+        }
+        Moment started = since == 0 ? new Moment(0) : Moment.later(new Moment(1), unixMillis.apply(since));
+        double weight = endpoint.get("weight") instanceof Number n ? n.doubleValue() : 1;
+        HostEntry entry = new HostEntry(Ids.host(name), Math.max(0, zones.indexOf(endpoint.get("zone"))),
+            (int) (endpoint.get("group") instanceof Number n ? n.longValue() : 0), Math.max(0, kinds.indexOf(endpoint.get("type"))),
+            state, started, weight);
+        return new Listed(name, Address.parse("tcp:" + text(endpoint, "address")), entry);
+    }
+
+    private static Map<?, ?> map(Object value, String what) {
+        if (value instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw new IllegalArgumentException(what + " is no object");
+    }
+
+    private static String text(Map<?, ?> members, String key) {
+        if (members.get(key) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new IllegalArgumentException(key + " is no text");
+    }
+
+    private static long number(Object value, String key) {
+        if (value instanceof Integer || value instanceof Long) {
+            return ((Number) value).longValue();
+        }
+        throw new IllegalArgumentException(key + " is no whole number");
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/journal/JournalTail.java
@@ -0,0 +1,162 @@
+package flintlead.platform.journal;
+
+import flintlead.loop.Address;
+import flintlead.loop.Loop;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.loop.Transport;
+import flintlead.rpc.LineDecoder;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.function.Consumer;
+
+/**
+ * Follows the journal service: asks for what comes after the last event applied, and asks anew when the connection breaks, says
+ * nothing, says what can't be read or leaves an event out.
+ */
+public final class JournalTail {
+
+    private static final int LINE_MOST = 1 << 20;
+    private static final Span DIAL = Span.ofMillis(500);
+    /** Each second brings a line. */
+    private static final Span SILENCE = Span.ofMillis(1_600);
+    /** Asked again after a span by chance of up to this, doubled with each failure in a row: soon enough for its 2 s. */
+    private static final Span AGAIN_FIRST = Span.ofMillis(50);
+    private static final Span AGAIN_LONGEST = Span.ofMillis(800);
+
+    private final Loop loop;
+    private final Transport transport;
+    private final HostEvents events;
+    private final Json json;
+    private final Random random;
+    private final Consumer<String> log;
+    private Address address;
+    private Telling telling;
+    private int failures;
+    private boolean stopped;
+
+    public JournalTail(Address address, Loop loop, Transport transport, HostEvents events, Json json, Random random,
+                       Consumer<String> log) {
+        this.address = address;
+        this.loop = loop;
+        this.transport = transport;
+        this.events = events;
+        this.json = json;
+        this.random = random;
+        this.log = log;
+    }
+
+    public void start() {
+        ask();
+    }
+
+    /** From now on the service is there; the numbers go on. */
+    public void moves(Address to) {
+        if (!to.equals(address)) {
+            address = to;
+            failures = 0;
+            if (telling != null) {
+                telling.drop();
+            }
+            ask();
+        }
+    }
+
+    public void stop() {
+        stopped = true;
+        if (telling != null) {
+            telling.drop();
+        }
+    }
+
+    private void ask() {
+        telling = new Telling();
+        telling.stream = transport.connect(address, telling);
+        telling.watch(DIAL);
+    }
+
+    /** One connection to the service. */
+    private final class Telling implements StreamListener, LineDecoder.Sink {
+        private final LineDecoder lines = new LineDecoder(LINE_MOST, this);
+        private Stream stream;
+        private Runnable watch = () -> { };
+        private boolean over;
+
+        void watch(Span most) {
+            watch.run();
+            watch = loop.after(most, () -> ends("it says nothing"));
+        }
+
+        @Override
+        public void opened() {
+            if (!over) {
+                stream.write(Unpooled.copiedBuffer("tail " + events.last() + "\n", StandardCharsets.US_ASCII));
+                watch(SILENCE);
+            }
+        }
+
+        @Override
+        public void received(ByteBuf bytes) {
+            if (!over) {
+                lines.feed(bytes, stream.alloc());
+            }
+        }
+
+        @Override
+        public void line(ByteBuf line) {
+            if (over) {
+                return;
+            }
+            try {
+                Object said = json.read(ByteBufUtil.getBytes(line));
+                if (said instanceof Number last ? last.longValue() > events.last() : !events.event(said)) {
+                    ends("events after " + events.last() + " are missing");
+                    return;
+                }
+                failures = 0;
+                watch(SILENCE);
+            } catch (IllegalArgumentException e) {
+                ends(e.getMessage());
+            }
+        }
+
+        @Override
+        public void tooLong(int most) {
+            ends("a line of over " + most + " bytes");
+        }
+
+        @Override
+        public void closed(String why) {
+            ends(why);
+        }
+
+        void drop() {
+            if (!over) {
+                over = true;
+                watch.run();
+                lines.end();
+                stream.abort();
+            }
+        }
+
+        private void ends(String why) {
+            if (over) {
+                return;
+            }
+            drop();
+            Span bound = Span.shorter(AGAIN_LONGEST, AGAIN_FIRST.times(1L << Math.min(failures++, 8)));
+            if (!stopped) {
+                log.accept("journal at " + address + ": " + why);
+                loop.after(bound.times(0.5 + random.nextDouble() / 2), () -> {
+                    if (telling == this && !stopped) {
+                        ask();
+                    }
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/link/Errand.java
@@ -0,0 +1,49 @@
+package flintlead.platform.link;
+
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import io.netty.buffer.ByteBuf;
+
+/** One request to a host, from being handed to its way until it has ended. */
+public abstract class Errand {
+
+    final String tag;
+    HostConnection connection;
+    /** Bytes of it may have left; until then it is proven that it did not run. */
+    boolean sent;
+    boolean over;
+    int dials;
+    Moment sentAt;
+
+    /** @param tag what the answer comes under */
+    protected Errand(String tag) {
+        this.tag = tag;
+    }
+
+    /** Writes the whole command. */
+    protected abstract void write(ByteBuf out);
+
+    /** Its end; never within the call that started it. The body is its own only until it returns. */
+    protected abstract void ended(Outcome outcome, Fields fields, ByteBuf body);
+
+    /** Whether the host is told when it is given up. */
+    protected boolean canBeRecalled() {
+        return true;
+    }
+
+    protected final String tag() {
+        return tag;
+    }
+
+    /** It has ended, or was withdrawn. */
+    public final boolean isOver() {
+        return over;
+    }
+
+    final void end(Outcome outcome, Fields fields, ByteBuf body) {
+        if (!over) {
+            over = true;
+            ended(outcome, fields, body);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/link/HostConnection.java
@@ -0,0 +1,221 @@
+package flintlead.platform.link;
+
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One connection to a host. It belongs to the host it was opened for and ends with it. */
+final class HostConnection implements StreamListener, AnswerLines.Sink {
+
+    /** An answer that has begun and does not go on for this long was cut off: hosts write answers whole. */
+    private static final Span CUT_OFF = Span.ofMillis(250);
+
+    private final HostWay way;
+    private final AnswerLines lines;
+    private final Map<String, Errand> out = new LinkedHashMap<>();
+    private Stream stream;
+    private boolean open;
+    private boolean over;
+    /** Takes nothing new, as what went out last was given up and nothing has been heard since. */
+    private boolean doubted;
+    private boolean leaving;
+    private Moment usedAt;
+    private Moment heardAt;
+    private Moment midwaySince;
+
+    HostConnection(HostWay way) {
+        this.way = way;
+        this.lines = new AnswerLines(way.terms().body(), this);
+        this.usedAt = way.now();
+        this.heardAt = usedAt;
+    }
+
+    void opening(Stream opening) {
+        stream = opening;
+    }
+
+    boolean isOpen() {
+        return open && !over;
+    }
+
+    boolean isOpening() {
+        return !open && !over;
+    }
+
+    boolean wasOpen() {
+        return open;
+    }
+
+    boolean isIdle() {
+        return isOpen() && out.isEmpty() && !lines.isMidway();
+    }
+
+    /** Whether a new request may be written to it. */
+    boolean takes() {
+        return isOpen() && !doubted && !leaving && !lines.isMidway() && out.size() < way.terms().streams() && stream.unsent() == 0;
+    }
+
+    boolean takes(Errand errand) {
+        return takes() && !out.containsKey(errand.tag);
+    }
+
+    int load() {
+        return out.size();
+    }
+
+    Moment usedAt() {
+        return usedAt;
+    }
+
+    boolean hasUnsent() {
+        return isOpen() && stream.unsent() > 0;
+    }
+
+    void send(Errand errand) {
+        errand.connection = this;
+        errand.sent = true;
+        errand.sentAt = way.now();
+        usedAt = way.now();
+        out.put(errand.tag, errand);
+        ByteBuf bytes = Unpooled.buffer(256);
+        errand.write(bytes);
+        stream.write(bytes);
+    }
+
+    /** A command that has no answer. */
+    void write(String line) {
+        usedAt = way.now();
+        stream.write(Unpooled.copiedBuffer(line + "\r\n", StandardCharsets.US_ASCII));
+    }
+
+    /** The errand is given up; the host is told. A connection that has been silent since is not used for anything new. */
+    void recall(Errand errand) {
+        if (out.remove(errand.tag) == null || over) {
+            return;
+        }
+        if (errand.canBeRecalled()) {
+            write("never_mind " + errand.tag);
+        }
+        if (!heardAt.isAfter(errand.sentAt)) {
+            doubted = true;
+        }
+        endIfDone();
+    }
+
+    void leave() {
+        leaving = true;
+        endIfDone();
+    }
+
+    private void endIfDone() {
+        if ((leaving || doubted) && out.isEmpty() && !over) {
+            if (doubted || stream.unsent() > 0 || isOpening()) {
+                abort();
+            } else {
+                close();
+            }
+        }
+    }
+
+    void close() {
+        if (!over) {
+            over = true;
+            lines.end();
+            stream.close();
+            way.gone(this, List.of(), HostWay.End.OURS);
+        }
+    }
+
+    void abort() {
+        end(HostWay.End.OURS);
+    }
+
+    void check(Moment now) {
+        if (isOpen() && lines.isMidway() && midwaySince != null && now.since(midwaySince).isLongerThan(CUT_OFF)) {
+            end(HostWay.End.SPOILT);
+        }
+    }
+
+    private void end(HostWay.End how) {
+        if (over) {
+            return;
+        }
+        over = true;
+        lines.end();
+        stream.abort();
+        List<Errand> unanswered = new ArrayList<>(out.values());
+        out.clear();
+        way.gone(this, unanswered, how);
+    }
+
+    // ---- from the stream ----
+
+    @Override
+    public void opened() {
+        if (!over) {
+            open = true;
+            way.opened(this);
+        }
+    }
+
+    @Override
+    public void received(ByteBuf bytes) {
+        heardAt = way.now();
+        doubted = false;
+        midwaySince = heardAt;
+        lines.feed(bytes);
+        if (!over) {
+            way.heard(this);
+        }
+    }
+
+    @Override
+    public void drained() {
+        if (!over) {
+            way.heard(null);
+        }
+    }
+
+    @Override
+    public void closed(String why) {
+        end(open ? HostWay.End.BROKEN : HostWay.End.REFUSED);
+    }
+
+    @Override
+    public void answer(String id, String word, Fields fields, ByteBuf body) {
+        Outcome outcome = switch (word) {
+            case "200", "alive" -> Outcome.OK;
+            case "404" -> Outcome.MISS;
+            case "503" -> Outcome.FULL;
+            case "500", "dead" -> Outcome.ERROR;
+            case "504" -> Outcome.MOOT;
+            default -> null;
+        };
+        if (outcome == null) {
+            unreadable("an unknown word");
+            return;
+        }
+        // One under an unknown id, or a second copy, is passed over: what belongs to others here still comes whole.
+        Errand errand = out.remove(id);
+        if (errand != null) {
+            usedAt = way.now();
+            errand.end(outcome, fields, body);
+            endIfDone();
+        }
+    }
+
+    @Override
+    public void unreadable(String why) {
+        way.log("host " + way.name() + ": " + why);
+        end(HostWay.End.SPOILT);
+    }
+}
--- /dev/null
+++ b/src/main/java/flintlead/platform/link/HostWay.java
@@ -0,0 +1,305 @@
+package flintlead.platform.link;
+
+import flintlead.loop.Address;
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * The connections to one host. One request a connection as long as there is room for connections, as a spoilt answer takes
+ * everything with it that is open on its connection; beyond that many share one.
+ */
+public final class HostWay {
+
+    /** How a connection ended. */
+    enum End { OURS, REFUSED, BROKEN, SPOILT }
+
+    /** How long it is asked after a connection broke whether the host lives, before the host is taken to have died. */
+    private static final Span LIMBO = Span.ofMillis(150);
+    /** Connections tried for a request that has not left, before it ends. */
+    private static final int DIALS = 2;
+    private static final int WAITING_MOST = 2_000;
+    /** Our own end of an idle connection, as a share of the host's: a request would cross the host's close. */
+    private static final double IDLE_SHARE = 0.6;
+
+    private final HostWays all;
+    private final String name;
+    private final Address address;
+    private final List<HostConnection> connections = new ArrayList<>();
+    private final Deque<Errand> waiting = new ArrayDeque<>();
+    /** Requests whose connection broke, while it is asked whether the host lives. */
+    private final List<Errand> limbo = new ArrayList<>();
+    private int opening;
+    private boolean draining;
+    private boolean left;
+
+    HostWay(HostWays all, String name, Address address) {
+        this.all = all;
+        this.name = name;
+        this.address = address;
+    }
+
+    String name() {
+        return name;
+    }
+
+    Address address() {
+        return address;
+    }
+
+    LinkTerms terms() {
+        return all.terms;
+    }
+
+    Moment now() {
+        return all.loop.now();
+    }
+
+    void log(String line) {
+        all.log.accept(line);
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
+    /** Sends it, or lets it wait for a connection; its end never comes within this call. */
+    public void run(Errand errand) {
+        if (left || waiting.size() >= WAITING_MOST) {
+            later(errand, left ? Outcome.CONNECT_FAILED : Outcome.FULL);
+            return;
+        }
+        waiting.add(errand);
+        sendWaiting();
+    }
+
+    private void later(Errand errand, Outcome outcome) {
+        all.loop.at(now(), () -> errand.end(outcome, Fields.NONE, null));
+    }
+
+    /** A command that has no answer; dropped where no connection is open. */
+    public void tell(String line) {
+        for (HostConnection connection : connections) {
+            if (connection.takes()) {
+                connection.write(line);
+                return;
+            }
+        }
+    }
+
+    private void sendWaiting() {
+        while (!waiting.isEmpty()) {
+            Errand errand = waiting.peek();
+            HostConnection idle = best(errand, true);
+            if (idle == null && mayDial()) {
+                // Fewer than wait are being opened, or there is room: one more, and it waits for whichever is first.
+                if (opening >= waiting.size() || dial()) {
+                    if (opening >= waiting.size()) {
+                        return;
+                    }
+                    continue;
+                }
+            }
+            HostConnection to = idle != null ? idle : best(errand, false);
+            if (to == null) {
+                if (opening == 0 && connections.isEmpty() && limbo.isEmpty()) {
+                    // Neither a connection nor a way to open one: it may go elsewhere at once.
+                    waiting.poll();
+                    later(errand, Outcome.CONNECT_FAILED);
+                    continue;
+                }
+                return;
+            }
+            waiting.poll();
+            to.send(errand);
+        }
+    }
+
+    /** The idle connection used last, or the least laden one. */
+    private HostConnection best(Errand errand, boolean idle) {
+        HostConnection best = null;
+        for (HostConnection connection : connections) {
+            if (connection.takes(errand) && (!idle || connection.isIdle())
+                && (best == null || connection.load() < best.load()
+                || connection.load() == best.load() && connection.usedAt().isAfter(best.usedAt()))) {
+                best = connection;
+            }
+        }
+        return best;
+    }
+
+    private boolean mayDial() {
+        return !left && !draining && connections.size() < all.mostOfOne();
+    }
+
+    private boolean dial() {
+        if (!all.mayOpen(this)) {
+            return false;
+        }
+        HostConnection connection = new HostConnection(this);
+        connections.add(connection);
+        opening++;
+        all.opened(1);
+        connection.opening(all.transport.connect(address, connection));
+        all.loop.after(all.terms.dial(), () -> {
+            if (connection.isOpening()) {
+                connection.closed("not open in time");
+            }
+        });
+        return true;
+    }
+
+    /**
+     * Ends a request early. Gives back whether it is proven that it never left; else the host is told, and no answer is waited
+     * for any more.
+     */
+    public boolean withdraw(Errand errand) {
+        errand.over = true;
+        limbo.remove(errand);
+        if (!errand.sent) {
+            waiting.remove(errand);
+            return true;
+        }
+        errand.connection.recall(errand);
+        return false;
+    }
+
+    // ---- from its connections ----
+
+    void opened(HostConnection connection) {
+        opening--;
+        lives();
+        sendWaiting();
+        if (draining || left) {
+            connection.leave();
+        }
+    }
+
+    void heard(HostConnection connection) {
+        if (connection != null) {
+            lives();
+        }
+        sendWaiting();
+    }
+
+    /** The host lives, only the way broke: what was out on it may have run, and the host may be sent to. */
+    private void lives() {
+        if (!limbo.isEmpty()) {
+            List<Errand> strays = List.copyOf(limbo);
+            limbo.clear();
+            strays.forEach(errand -> later(errand, Outcome.STRAYED));
+        }
+    }
+
+    void gone(HostConnection connection, List<Errand> unanswered, End how) {
+        connections.remove(connection);
+        all.opened(-1);
+        if (!connection.wasOpen()) {
+            opening--;
+        }
+        if (how == End.SPOILT) {
+            unanswered.forEach(errand -> later(errand, Outcome.STRAYED));
+        } else if (how == End.BROKEN && !unanswered.isEmpty()) {
+            limbo.addAll(unanswered);
+            boolean asked = opening > 0 || mayDial() && dial();
+            all.loop.after(asked ? LIMBO : Span.ZERO, () -> died(unanswered));
+        } else if (how == End.REFUSED) {
+            died(List.copyOf(limbo));
+            refused();
+        }
+        if (how == End.OURS) {
+            // Closed by the bounds or after a withdrawal: who waits may need another.
+            all.loop.at(now(), this::sendWaiting);
+        } else {
+            sendWaiting();
+        }
+    }
+
+    private void died(List<Errand> errands) {
+        for (Errand errand : errands) {
+            if (limbo.remove(errand)) {
+                later(errand, Outcome.RESET);
+            }
+        }
+    }
+
+    /** No connection came about: what waited for one has one more try, and ends where the host takes none at all. */
+    private void refused() {
+        boolean others = connections.stream().anyMatch(HostConnection::isOpen);
+        for (Errand errand : List.copyOf(waiting)) {
+            if (++errand.dials >= DIALS && !others) {
+                waiting.remove(errand);
+                later(errand, Outcome.CONNECT_FAILED);
+            }
+        }
+    }
+
+    // ---- from the list ----
+
+    /** Nothing new reaches it from now on; what has not left is withdrawn, what is out may end. */
+    void drains() {
+        if (!draining) {
+            draining = true;
+            List<Errand> unsent = List.copyOf(waiting);
+            waiting.clear();
+            unsent.forEach(errand -> later(errand, Outcome.CONNECT_FAILED));
+            List.copyOf(connections).forEach(HostConnection::leave);
+            // What still lies in a send buffer would arrive after the grace.
+            all.loop.after(terms().drainGrace().times(0.5), () -> {
+                for (HostConnection connection : List.copyOf(connections)) {
+                    if (connection.hasUnsent()) {
+                        connection.closed("unsent at a draining host");
+                    }
+                }
+            });
+        }
+    }
+
+    /** It takes part again, under the same name. */
+    void returns() {
+        draining = false;
+    }
+
+    void leaves() {
+        left = true;
+        drains();
+    }
+
+    boolean isEmpty() {
+        return connections.isEmpty() && waiting.isEmpty() && limbo.isEmpty();
+    }
+
+    /** Closes idle connections before the host does, and those cut off in the middle of an answer. */
+    void check(Moment now) {
+        for (HostConnection connection : List.copyOf(connections)) {
+            connection.check(now);
+            if (connection.isIdle() && now.since(connection.usedAt()).isLongerThan(terms().idle().times(IDLE_SHARE))) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Closes connections that have nothing in flight. */
+    public void closeIdle() {
+        for (HostConnection connection : List.copyOf(connections)) {
+            if (connection.isIdle()) {
+                connection.close();
+            }
+        }
+    }
+
+    /** The connection that has been idle for longest; null where none is. */
+    HostConnection idlest() {
+        HostConnection idlest = null;
+        for (HostConnection connection : connections) {
+            if (connection.isIdle() && (idlest == null || connection.usedAt().isBefore(idlest.usedAt()))) {
+                idlest = connection;
+            }
+        }
+        return idlest;
+    }
+}
