--- a/src/main/java/flintlead/http/HttpCodec.java
+++ b/src/main/java/flintlead/http/HttpCodec.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * The bytes of one connection's server side: whole small requests come out, whole responses go in. Strict where leniency
@@ -39,6 +40,7 @@
 
     /** Netty's decoder, which would drop the length where there is a transfer coding too. */
     private static final class Decoder extends HttpRequestDecoder {
+        private long begun;
 
         Decoder() {
             super(new HttpDecoderConfig().setMaxInitialLineLength(LINE_MOST).setMaxHeaderSize(HEAD_MOST)
@@ -50,8 +52,15 @@
             throw new IllegalArgumentException("Content-Length together with Transfer-Encoding");
         }
 
-        int rest() {
-            return actualReadableBytes();
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) throws Exception {
+            begun++;
+            return super.createMessage(initialLine);
+        }
+
+        /** Whether a request of which only lines have come is not whole; those lines are no bytes left over. */
+        boolean isMidway(long whole) {
+            return begun > whole || actualReadableBytes() > 0;
         }
     }
 
@@ -60,6 +69,7 @@
     private final int bodyMost;
     private final Sink sink;
     private HttpRequest head;
+    private long whole;
     private ByteBuf body;
     private boolean over;
 
@@ -86,7 +96,7 @@
                     part(part);
                 }
             } finally {
-                io.netty.util.ReferenceCountUtil.release(part);
+                ReferenceCountUtil.release(part);
             }
         }
     }
@@ -111,11 +121,12 @@
                 body.writeBytes(content.content());
             }
             if (part instanceof LastHttpContent) {
-                HttpRequest whole = head;
+                HttpRequest request = head;
+                whole++;
                 head = null;
                 ByteBuf all = body == null ? Unpooled.EMPTY_BUFFER : body;
                 body = null;
-                sink.request(whole, all);
+                sink.request(request, all);
             }
         }
     }
@@ -154,10 +165,14 @@
 
     /** Whether a request has begun to come in that is not whole yet. */
     public boolean isMidway() {
-        return !over && (head != null || decoder.rest() > 0);
+        return !over && decoder.isMidway(whole);
     }
 
-    /** The bytes of a response; the body is copied. {@code waitMs} below zero for none. */
+    /**
+     * The bytes of a response; the body is copied.
+     *
+     * @param header a further header with a whole number; null for none
+     */
     public ByteBuf response(int status, ByteBuf content, boolean close, String header, long value) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
             content.retainedDuplicate());
--- a/src/main/java/flintlead/platform/Main.java
+++ b/src/main/java/flintlead/platform/Main.java
@@ -12,8 +12,12 @@
     private Main() {
     }
 
-    /** Serves until SIGTERM; gives back the exit code. */
-    public static int run() {
+    /**
+     * Serves until SIGTERM; gives back the exit code.
+     *
+     * @param rehearse only to play a rehearsal, which the build does
+     */
+    public static int run(boolean rehearse) {
         // Before all else: a JVM ends on SIGHUP.
         Platform[] platform = new Platform[1];
         Signal.handle(new Signal("HUP"), signal -> {
@@ -23,6 +27,15 @@
                 }
             }
         });
+        if (rehearse) {
+            try {
+                Rehearsal.play();
+                return 0;
+            } catch (IOException e) {
+                System.err.println("flintlead: " + e.getMessage());
+                return 1;
+            }
+        }
         String file = System.getenv("ROUTER_CONFIG");
         if (file == null || file.isEmpty()) {
             System.err.println("flintlead: ROUTER_CONFIG is not set");
--- a/src/main/java/flintlead/platform/Platform.java
+++ b/src/main/java/flintlead/platform/Platform.java
@@ -158,6 +158,12 @@
         ended.complete(null);
     }
 
+    /** Ends at once, as a killed process does. From any thread. */
+    void kill() {
+        loop.execute(this::over);
+        join();
+    }
+
     /** Waits until it has ended. */
     public void join() {
         ended.join();
--- /dev/null
+++ b/src/test/java/flintlead/platform/link/AnswerLinesTest.java
@@ -0,0 +1,94 @@
+package flintlead.platform.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Answers come out the same however the bytes come in; what can't be read ends it and costs no more than a bound. */
+class AnswerLinesTest {
+
+    private static final int BODY_MOST = 2_000;
+    private final List<String> out = new ArrayList<>();
+
+    private AnswerLines lines() {
+        out.clear();
+        return new AnswerLines(BODY_MOST, new AnswerLines.Sink() {
+            @Override
+            public void answer(String id, String word, Fields fields, ByteBuf body) {
+                out.add(id + " " + word + " " + fields.get("tell") + " " + body.toString(StandardCharsets.ISO_8859_1));
+            }
+
+            @Override
+            public void unreadable(String why) {
+                out.add("unreadable");
+            }
+        });
+    }
+
+    private static void feed(AnswerLines lines, String text) {
+        lines.feed(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    @Property(tries = 300, seed = "4714")
+    void answersDoNotDependOnHowTheyWereSplit(@ForAll @Size(max = 12) List<@IntRange(max = 300) Integer> lengths, @ForAll long seed) {
+        StringBuilder text = new StringBuilder();
+        List<String> expected = new ArrayList<>();
+        for (int length : lengths) {
+            String body = "\r\n 9".repeat(length).substring(0, length);
+            text.append("id").append(length).append(" 200 tell=hot ").append(length).append("\r\n").append(body).append("\r\n");
+            expected.add("id" + length + " 200 hot " + body);
+        }
+        AnswerLines lines = lines();
+        Random random = new Random(seed);
+        for (int from = 0; from < text.length();) {
+            int to = Math.min(text.length(), from + 1 + random.nextInt(200));
+            feed(lines, text.substring(from, to));
+            from = to;
+        }
+        assertEquals(expected, out);
+        assertTrue(!lines.isMidway());
+    }
+
+    @Property(tries = 500, seed = "4715")
+    void anyBytesEndInAnswersOrOneFault(@ForAll byte[] bytes) {
+        AnswerLines lines = lines();
+        lines.feed(Unpooled.wrappedBuffer(bytes));
+        feed(lines, "x".repeat(2_000));
+        assertEquals(1, out.stream().filter("unreadable"::equals).count(), "a line that does not end is a fault by 1 KiB");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a 200 - 3\r\nabcd\r\n", "a 200 - -1\r\n", "a 200 - 3000000000\r\n", "a 200 - 2001\r\n", "a 200 - x\r\n",
+        "a 200 3\r\n", "a 200 - 3\nabc\r\n", "a\u0001 200 - 3\r\nabc\r\n", "\r\n", "a 200 - 3 4\r\n", "a  200 - 3\r\n"})
+    void whatDoesNotFitIsAFault(String text) {
+        AnswerLines lines = lines();
+        feed(lines, text);
+        feed(lines, "b 200 - 1\r\nx\r\n");
+        assertEquals(List.of("unreadable"), out, "nothing that follows is told from a body");
+    }
+
+    @Test
+    void fieldsAreReadByName() {
+        Fields fields = new Fields("tell=broken,meter=inflight:7;waiting:3.5,units=2");
+        assertEquals("broken", fields.get("tell"));
+        assertEquals(3.5f, fields.reported("waiting"));
+        assertTrue(Float.isNaN(fields.reported("util")));
+        assertEquals(2, fields.number("units", 0));
+        assertEquals(9, fields.number("tell", 9));
+        assertNull(Fields.NONE.get("tell"));
+    }
+}
