A connection reset while new no longer passes for a host that refuses

Cause: HostConnection.closed took every connection that did not open for a refusal; the trace shows 'Connection reset by peer' while connecting just before each 'died' (HostWay.gone). Only who has accepted a connection can reset it: the host lives. Change: End.SHUT: requests in limbo have strayed, what waits is dialled for again up to 4 times.

--- a/src/main/java/flintlead/platform/link/HostConnection.java
+++ b/src/main/java/flintlead/platform/link/HostConnection.java
@@ -187,7 +187,7 @@
 
     @Override
     public void closed(String why) {
-        end(open ? HostWay.End.BROKEN : HostWay.End.REFUSED);
+        end(open ? HostWay.End.BROKEN : why.contains("reset") ? HostWay.End.SHUT : HostWay.End.REFUSED);
     }
 
     @Override
--- a/src/main/java/flintlead/platform/link/HostWay.java
+++ b/src/main/java/flintlead/platform/link/HostWay.java
@@ -16,12 +16,12 @@
 public final class HostWay {
 
     /** How a connection ended. */
-    enum End { OURS, REFUSED, BROKEN, SPOILT }
+    enum End { OURS, REFUSED, SHUT, BROKEN, SPOILT }
 
     /** How long it is asked after a connection broke whether the host lives, before the host is taken to have died. */
     private static final Span LIMBO = Span.ofMillis(150);
-    /** Connections tried for a request that has not left, before it ends. */
-    private static final int DIALS = 2;
+    /** Connections that may be reset while new under a request that has not left, before it ends. */
+    private static final int DIALS = 4;
     private static final int WAITING_MOST = 2_000;
     /** Our own end of an idle connection, as a share of the host's: a request would cross the host's close. */
     private static final double IDLE_SHARE = 0.6;
@@ -207,9 +207,13 @@
             limbo.addAll(unanswered);
             boolean asked = opening > 0 || mayDial() && dial();
             all.loop.after(asked ? LIMBO : Span.ZERO, () -> died(unanswered));
+        } else if (how == End.SHUT) {
+            // Reset while new: whoever could do that had accepted it, so that somebody listens there.
+            lives();
+            unopened(1);
         } else if (how == End.REFUSED) {
             died(List.copyOf(limbo));
-            refused();
+            unopened(DIALS);
         }
         if (how == End.OURS) {
             // Closed by the bounds or after a withdrawal: who waits may need another.
@@ -227,11 +231,12 @@
         }
     }
 
-    /** No connection came about: what waited for one has one more try, and ends where the host takes none at all. */
-    private void refused() {
+    /** No connection came about: what waited for one ends where the host takes none, and no other is open. */
+    private void unopened(int tries) {
         boolean others = connections.stream().anyMatch(HostConnection::isOpen);
         for (Errand errand : List.copyOf(waiting)) {
-            if (++errand.dials >= DIALS && !others) {
+            errand.dials += tries;
+            if (errand.dials >= DIALS && !others) {
                 waiting.remove(errand);
                 later(errand, Outcome.CONNECT_FAILED);
             }
