--- /dev/null
+++ b/src/test/java/flintlead/platform/link/HostWayTest.java
@@ -0,0 +1,272 @@
+package flintlead.platform.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.loop.Address;
+import flintlead.loop.Loop;
+import flintlead.loop.Stream;
+import flintlead.loop.StreamListener;
+import flintlead.loop.Timers;
+import flintlead.loop.Transport;
+import flintlead.port.Outcome;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+
+/** What a request is told of its end, for each way in which connections end; in virtual time, without sockets. */
+class HostWayTest {
+
+    /** A connection as the test plays it. */
+    private final class Wire implements Stream {
+        final StreamListener listener;
+        final StringBuilder written = new StringBuilder();
+        long unsent;
+        boolean aborted;
+        boolean closed;
+
+        Wire(StreamListener listener) {
+            this.listener = listener;
+        }
+
+        Wire open() {
+            listener.opened();
+            return this;
+        }
+
+        void says(String text) {
+            listener.received(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+            run(Span.ZERO);
+        }
+
+        void ends(String why) {
+            listener.closed(why);
+            run(Span.ZERO);
+        }
+
+        @Override
+        public void write(ByteBuf bytes) {
+            written.append(bytes.toString(StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public long unsent() {
+            return unsent;
+        }
+
+        @Override
+        public void reading(boolean on) {
+            // Always.
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+        }
+
+        @Override
+        public void abort() {
+            aborted = true;
+        }
+
+        @Override
+        public ByteBufAllocator alloc() {
+            return UnpooledByteBufAllocator.DEFAULT;
+        }
+    }
+
+    private final class World implements Loop, Transport {
+        private final Timers timers = new Timers();
+        private Moment now = new Moment(1_000_000);
+
+        @Override
+        public Moment now() {
+            return now;
+        }
+
+        @Override
+        public Runnable at(Moment when, Runnable then) {
+            return timers.add(when, then);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            at(now, task);
+        }
+
+        @Override
+        public Stream connect(Address to, StreamListener listener) {
+            wires.add(new Wire(listener));
+            return wires.get(wires.size() - 1);
+        }
+
+        @Override
+        public Listening listen(Address at, Function<Stream, StreamListener> acceptor) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    private final World world = new World();
+    private final List<Wire> wires = new ArrayList<>();
+    private final List<String> ends = new ArrayList<>();
+    private final HostWays ways = new HostWays(new LinkTerms(100, 10, 1_000, Span.ofMillis(250), Span.ofMillis(15_000), Span.ofMillis(1_000)),
+        world, world, line -> { });
+
+    private void run(Span span) {
+        Moment end = world.now.plus(span);
+        while (world.timers.next() != null && !world.timers.next().isAfter(end)) {
+            world.now = Moment.later(world.now, world.timers.next());
+            world.timers.poll(world.now, Long.MAX_VALUE).run();
+        }
+        world.now = end;
+    }
+
+    private HostWay way() {
+        ways.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), false);
+        return ways.to(1);
+    }
+
+    private Errand ask(HostWay way, String id) {
+        Errand errand = new Errand(id) {
+            @Override
+            protected void write(ByteBuf out) {
+                out.writeCharSequence("fire " + id + " - 0\r\n\r\n", StandardCharsets.US_ASCII);
+            }
+
+            @Override
+            protected void ended(Outcome outcome, Fields fields, ByteBuf body) {
+                ends.add(id + " " + outcome);
+            }
+        };
+        way.run(errand);
+        return errand;
+    }
+
+    @Test
+    void resetWhileNewIsNoRefusalAndWhatHadNotLeftIsSentOnTheNext() {
+        HostWay way = way();
+        ask(way, "a");
+        wires.get(0).open();
+        wires.get(0).ends("Connection reset");
+        wires.get(1).ends("no connection: Connection reset by peer");
+        assertEquals(List.of("a STRAYED"), ends, "whoever resets a new connection has accepted it");
+        ask(way, "b");
+        wires.get(2).ends("no connection: Connection reset by peer");
+        wires.get(3).open().says("b 200 - 0\r\n\r\n");
+        assertEquals(List.of("a STRAYED", "b OK"), ends);
+    }
+
+    @Test
+    void aHostThatRefusesAfterABreakHasDied() {
+        ask(way(), "a");
+        wires.get(0).open().ends("Connection reset");
+        wires.get(1).ends("no connection: Connection refused");
+        assertEquals(List.of("a RESET"), ends);
+    }
+
+    @Test
+    void aHostOfWhichNothingIsHeardAfterABreakHasDied() {
+        ask(way(), "a");
+        wires.get(0).open().ends("Connection reset");
+        run(Span.ofMillis(149));
+        assertEquals(List.of(), ends);
+        run(Span.ofMillis(2));
+        assertEquals(List.of("a RESET"), ends);
+    }
+
+    @Test
+    void whatNeverLeftIsProvenNotToHaveRun() {
+        HostWay way = way();
+        ask(way, "a");
+        assertTrue(way.withdraw(ask(way, "b")), "still waiting");
+        wires.get(0).ends("no connection: Connection refused");
+        wires.get(1).ends("no connection: Connection refused");
+        assertEquals(List.of("a CONNECT_FAILED"), ends);
+    }
+
+    @Test
+    void aConnectionThatDoesNotOpenInTimeIsGivenUp() {
+        ask(way(), "a");
+        run(Span.ofMillis(251));
+        assertTrue(wires.get(0).aborted);
+        assertEquals(List.of("a CONNECT_FAILED"), ends);
+    }
+
+    @Test
+    void aSpoiltAnswerTakesOnlyItsConnection() {
+        HostWay way = way();
+        ask(way, "a");
+        ask(way, "b");
+        wires.get(0).open();
+        wires.get(1).open();
+        wires.get(0).says("a 200 - 3000000000\r\n");
+        wires.get(1).says("b 200 - 0\r\n\r\n");
+        assertEquals(List.of("a STRAYED", "b OK"), ends);
+        assertTrue(wires.get(0).aborted);
+    }
+
+    @Test
+    void aDrainingHostGetsNothingThatStillWaitsAndNothingOutOfABuffer() {
+        HostWay way = way();
+        ask(way, "a");
+        wires.get(0).open().unsent = 10;
+        ask(way, "b");
+        ways.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), true);
+        run(Span.ZERO);
+        assertEquals(List.of("b CONNECT_FAILED"), ends);
+        wires.get(1).open();
+        assertTrue(wires.get(1).written.isEmpty());
+        run(Span.ofMillis(501));
+        assertTrue(wires.get(0).aborted, "before the grace is over");
+        assertEquals(List.of("b CONNECT_FAILED", "a RESET"), ends);
+    }
+
+    @Test
+    void aConnectionSilentSinceARequestWasGivenUpCarriesNoOther() {
+        HostWay way = way();
+        Errand first = ask(way, "a");
+        wires.get(0).open();
+        run(Span.ofMillis(1));
+        way.withdraw(first);
+        ask(way, "b");
+        assertEquals(2, wires.size());
+        assertTrue(wires.get(0).aborted);
+    }
+
+    @Test
+    void anAnswerThatStopsShortEndsItsConnection() {
+        ask(way(), "a");
+        wires.get(0).open().says("a 200 - 5\r\nab");
+        run(Span.ofMillis(400));
+        assertEquals(List.of("a STRAYED"), ends);
+    }
+
+    @Test
+    void connectionsAreBoundedAndIdleOnesEndBeforeTheHostEndsThem() {
+        HostWay way = way();
+        for (int i = 0; i < 200; i++) {
+            ask(way, "i" + i);
+            if (i < wires.size()) {
+                wires.get(i).open();
+            }
+        }
+        assertTrue(wires.size() <= 32, "of one host");
+        for (Wire wire : List.copyOf(wires)) {
+            for (int i = 0; i < 200; i++) {
+                wire.says("i" + i + " 200 - 0\r\n\r\n");
+            }
+        }
+        assertEquals(200, ends.size());
+        run(Span.ofMillis(9_200));
+        assertTrue(wires.stream().allMatch(wire -> wire.closed));
+        assertEquals(0, ways.connections());
+    }
+}
