Faults of one connection stay its own; a repeat that waits past its window is held back

Seen on reading the code against what sockets do: a connect that fails at once (no descriptor left, a bad address) was told within the call that made it, so that the connection had no stream yet; SIGHUP during the rehearsal was lost; a tokened repeat could wait for a connection past its window; faults of the program went to no log at all.

--- a/src/main/java/flintlead/netty/NettyLoop.java
+++ b/src/main/java/flintlead/netty/NettyLoop.java
@@ -187,7 +187,8 @@
         stream.opening(connecting.channel());
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
-                stream.failed("no connection to " + to + ": " + done.cause().getMessage());
+                // As an event of its own: one that fails at once, as with no descriptor left, would be told within the call.
+                thread.execute(() -> stream.failed("no connection to " + to + ": " + done.cause().getMessage()));
             }
         });
         return stream;
--- a/src/main/java/flintlead/platform/Flight.java
+++ b/src/main/java/flintlead/platform/Flight.java
@@ -28,6 +28,7 @@
     final long number;
     final String id;
     final String function;
+    final int type;
     final String triggerType;
     final String token;
     final byte[] body;
@@ -35,10 +36,11 @@
     final List<Sent> dispatches = new ArrayList<>(2);
     Handle handle;
 
-    Flight(long number, String id, String function, String triggerType, String token, byte[] body, Taker.Client client) {
+    Flight(long number, String id, String function, int type, String triggerType, String token, byte[] body, Taker.Client client) {
         this.number = number;
         this.id = id;
         this.function = function;
+        this.type = type;
         this.triggerType = triggerType;
         this.token = token;
         this.body = body;
--- a/src/main/java/flintlead/platform/Main.java
+++ b/src/main/java/flintlead/platform/Main.java
@@ -24,10 +24,13 @@
     public static int run(boolean rehearse) {
         // Before all else: a JVM ends on SIGHUP.
         Platform[] platform = new Platform[1];
+        boolean[] early = new boolean[1];
         Signal.handle(new Signal("HUP"), signal -> {
             synchronized (platform) {
                 if (platform[0] != null) {
                     platform[0].reload();
+                } else {
+                    early[0] = true;
                 }
             }
         });
@@ -52,6 +55,9 @@
             System.err.println("flintlead: listens at " + made.start());
             synchronized (platform) {
                 platform[0] = made;
+                if (early[0]) {
+                    made.reload();
+                }
             }
             Signal.handle(new Signal("TERM"), signal -> made.end());
             made.join();
--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -16,6 +16,7 @@
 import flintlead.port.Gateway;
 import flintlead.port.HostEntry;
 import flintlead.port.Outcome;
+import flintlead.port.TriggerType;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import io.netty.buffer.ByteBuf;
@@ -123,7 +124,7 @@
             client.throttled(comeBack());
             return;
         }
-        Flight flight = new Flight(number, id, function, types.get(call.triggerType()), token, ByteBufUtil.getBytes(body), client);
+        Flight flight = new Flight(number, id, function, call.triggerType(), types.get(call.triggerType()), token, ByteBufUtil.getBytes(body), client);
         flights.put(number, flight);
         taken++;
         ledger.open(number, now().plus(call.left()), answer -> {
@@ -228,6 +229,11 @@
             return;
         }
         sent.timer = at(abandonAt, () -> withdraw(flight, number, Outcome.TIMEOUT));
+        TriggerType type = deployment.triggerTypes().get(flight.type);
+        if (number > 0 && type.effect() == TriggerType.Effect.TOKENED) {
+            // Past the window the hosts know the token no more: what waits for a connection until then would be a second run.
+            at(flight.dispatches.get(0).at.plus(type.window()), () -> sent.way.holdBack(sent.errand));
+        }
         sent.way.run(sent.errand);
     }
 
--- a/src/main/java/flintlead/platform/front/ClientConnection.java
+++ b/src/main/java/flintlead/platform/front/ClientConnection.java
@@ -54,7 +54,13 @@
         if (over) {
             return;
         }
-        codec.feed(bytes);
+        try {
+            codec.feed(bytes);
+        } catch (RuntimeException e) {
+            // A fault that its bytes bring about is this client's alone.
+            front.fault(e);
+            abort();
+        }
         if (!over) {
             boolean more = codec.isMidway();
             if (more && !midway && asked) {
--- a/src/main/java/flintlead/platform/front/Front.java
+++ b/src/main/java/flintlead/platform/front/Front.java
@@ -13,6 +13,8 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The socket of the gateway's clients. */
 public final class Front {
@@ -21,6 +23,7 @@
     /** A connection this young makes no room for another: its request may be on the way. */
     private static final Span IDLE_LEAST = Span.ofMillis(150);
 
+    private final Logger log = LoggerFactory.getLogger(Front.class);
     final Loop loop;
     final Taker taker;
     final CallReader reader;
@@ -66,6 +69,10 @@
         return connection;
     }
 
+    void fault(RuntimeException e) {
+        log.error("a client's connection failed", e);
+    }
+
     void gone(ClientConnection connection) {
         connections.remove(connection);
     }
--- a/src/main/java/flintlead/platform/link/HostWay.java
+++ b/src/main/java/flintlead/platform/link/HostWay.java
@@ -69,8 +69,8 @@
 
     /** Sends it, or lets it wait for a connection; its end never comes within this call. */
     public void run(Errand errand) {
-        if (left || waiting.size() >= WAITING_MOST) {
-            later(errand, left ? Outcome.CONNECT_FAILED : Outcome.FULL);
+        if (draining || waiting.size() >= WAITING_MOST) {
+            later(errand, draining ? Outcome.CONNECT_FAILED : Outcome.FULL);
             return;
         }
         waiting.add(errand);
@@ -168,6 +168,13 @@
         return false;
     }
 
+    /** From now on it must not leave any more; one that has left is not touched. Its end comes later. */
+    public void holdBack(Errand errand) {
+        if (waiting.remove(errand)) {
+            later(errand, Outcome.MOOT);
+        }
+    }
+
     // ---- from its connections ----
 
     void opened(HostConnection connection) {
--- a/src/test/java/flintlead/platform/PlatformTest.java
+++ b/src/test/java/flintlead/platform/PlatformTest.java
@@ -210,6 +210,17 @@
         assertEquals(10, stage.hosts.get(1).fired());
     }
 
+    @Test
+    void aHostWhoseAddressFailsAtOnceIsLeftForAnother() throws Exception {
+        stage(1);
+        stage.journal.add(true, stage.hosts.get(0).endpoint("active").replaceAll("127[^\"]*", "unix:/none").replace("s-0", "s-none"));
+        await().until(() -> stage.log.isEmpty() && stage.journal.asked.size() == 1);
+        for (int i = 1; i <= 20; i++) {
+            int id = i;
+            assertEquals(200, stage.client().send(Stage.call(id, "x").replace("00aa/fire", String.format("%04x/fire", id))).response().status());
+        }
+    }
+
     @Test
     void aConnectionThatIsResetDoesNotTakeALivingHostAlong() throws IOException {
         stage(1);
@@ -245,7 +256,8 @@
         stage.journal.add(true, old.endpoint("left"));
         int port = old.port();
         old.close();
-        Stage.Host heir = stage.anotherHost("s-heir", port);
+        // Until the accepting thread has let go of the port.
+        Stage.Host heir = await().ignoreException(java.net.BindException.class).until(() -> stage.anotherHost("s-heir", port), host -> true);
         stage.journal.add(true, second.endpoint("left"), heir.endpoint("active"));
         await().until(() -> stage.ask(3, "x").status() == 200 && heir.fired() > 0);
     }
