--- a/src/test/java/flintlead/arch/LayersTest.java
+++ b/src/test/java/flintlead/arch/LayersTest.java
@@ -17,7 +17,7 @@
     /** Packages that decide, or keep state for those that do. */
     private static final String[] PURE = {"flintlead", "flintlead.state..", "flintlead.port..", "flintlead.time..",
         "flintlead.admission..", "flintlead.ledger..", "flintlead.watch..", "flintlead.hosts..", "flintlead.dial..",
-        "flintlead.member..", "flintlead.learn..", "flintlead.change..", "flintlead.pool..", "flintlead.rollout.."};
+        "flintlead.member..", "flintlead.learn..", "flintlead.change..", "flintlead.pool..", "flintlead.rollout..", "flintlead.facts.."};
 
     @Test
     void whatDecidesKnowsNoInputNoClockAndNoThread() {
@@ -33,7 +33,7 @@
     void theLibraryKnowsNoDaemonAndNoRig() {
         noClasses().that().resideInAnyPackage("flintlead.gateway..", "flintlead.front..", "flintlead.link..",
             "flintlead.rpc..", "flintlead.ids..", "flintlead.loop..", "flintlead.netty..", "flintlead.client..",
-            "flintlead.registry..", "flintlead.snapshot..", "flintlead.http..")
+            "flintlead.registry..", "flintlead.snapshot..", "flintlead.http..", "flintlead.platform..")
             .should().dependOnClassesThat().resideInAnyPackage("flintlead.daemon..", "flintlead.cli..",
             "flintlead.yaml..", "flintlead.standin..", "flintlead.day..", "flintlead.load..", "flintlead.lab..", "picocli..",
             "ch.qos.logback..", "org.snakeyaml..", "org.HdrHistogram..").check(ALL);
--- /dev/null
+++ b/src/test/java/flintlead/facts/StartupFactsTest.java
@@ -0,0 +1,32 @@
+package flintlead.facts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The same facts come out of the bench's lines and of the platform's nested settings. */
+class StartupFactsTest {
+
+    @Test
+    void linesAndNestedSettingsTellTheSame() {
+        var lines = StartupFacts.ofLines("index=2\nservices.count=1\nservices.0.name=a\nservices.0.aim=340000\nservices.0.worth=3.0\n"
+            + "services.0.effect=by_key\nfeedback.names=waiting,cpu\nlimits.cancel=true\ntenants.count=1\ntenants.0.quota_per_s=7\nno line");
+        var nested = StartupFacts.ofNested(Map.of("index", 2, "services", List.of(Map.of("name", "a", "aim", 340_000, "worth", 3.0, "effect",
+            "by_key")), "feedback", Map.of("names", List.of("waiting", "cpu")), "limits", Map.of("cancel", true), "tenants",
+            List.of(Map.of("quota_per_s", 7))));
+        assertEquals(lines.deployment(), nested.deployment());
+        assertEquals(List.of("a"), nested.names("services"));
+        assertEquals(List.of("waiting", "cpu"), nested.texts("feedback.names"));
+        assertTrue(nested.texts("none").isEmpty());
+    }
+
+    @Test
+    void aValueThatIsNoNumberIsNamed() {
+        var facts = StartupFacts.ofNested(Map.of("rules", Map.of("warm_after", "soon")));
+        assertTrue(assertThrows(IllegalArgumentException.class, facts::deployment).getMessage().contains("rules.warm_after"));
+    }
+}
--- a/src/test/java/flintlead/platform/link/HostWayTest.java
+++ b/src/test/java/flintlead/platform/link/HostWayTest.java
@@ -192,6 +192,21 @@
         assertEquals(List.of("a CONNECT_FAILED"), ends);
     }
 
+    @Test
+    void whatIsHeldBackNeverLeavesAndWhatHasLeftIsNotTouched() {
+        HostWay way = way();
+        Errand waits = ask(way, "a");
+        way.holdBack(waits);
+        run(Span.ZERO);
+        assertEquals(List.of("a MOOT"), ends);
+        wires.get(0).open();
+        assertTrue(wires.get(0).written.isEmpty());
+        Errand left = ask(way, "b");
+        way.holdBack(left);
+        wires.get(0).says("b 200 - 0\r\n\r\n");
+        assertEquals(List.of("a MOOT", "b OK"), ends);
+    }
+
     @Test
     void aConnectionThatDoesNotOpenInTimeIsGivenUp() {
         ask(way(), "a");
