--- a/src/main/java/flintlead/platform/Platform.java
+++ b/src/main/java/flintlead/platform/Platform.java
@@ -32,6 +32,8 @@
     private static final int BODY_MOST = 64 * 1024;
     /** Of the heap, for bodies under way. */
     private static final double BODIES_PART = 0.125;
+    /** A connection has one invocation at a time: none needs a threshold of its own. */
+    private static final double SHARE = 1_000;
     /** After a request to end: as long as connections and requests may still come in. */
     private static final Span STILL_COMING = Span.ofMillis(750);
     private static final Span END_MOST = Span.ofMillis(3_500);
@@ -98,7 +100,7 @@
         HostWays ways = new HostWays(new LinkTerms(Math.max(8, sockets - clients), Math.max(1, (int) facts.number("limits.max_streams")),
             BODY_MOST, facts.span("limits.dial_timeout"), facts.span("limits.conn_idle"), facts.span("rules.drain_grace")), loop, loop, log);
         long bodies = (long) (Runtime.getRuntime().maxMemory() * BODIES_PART);
-        Intake.Bounds bounds = new Intake.Bounds(clients, bodies, 1_000, 1, bodies, 1, 1, END_MOST);
+        Intake.Bounds bounds = new Intake.Bounds(clients, bodies, SHARE, 1, bodies, 1, 1, END_MOST);
         gateway = new PlatformGateway(loop, ways, deployment, facts.names("services"), facts.span("limits.dial_timeout"), bounds,
             random.nextLong(), log);
         long offset = System.currentTimeMillis() * 1000 - loop.now().micros();
--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -39,8 +39,6 @@
     /** How often what happened since the last time is logged, in one line. */
     private static final Span REPORT = Span.ofMillis(5_000);
     private static final int CROWD_MOST = 30;
-    /** Requests of one client connection are one at a time: no connection needs a threshold of its own. */
-    private static final double SHARE = 1_000;
 
     private final Loop loop;
     private final HostWays ways;
--- a/src/main/java/flintlead/platform/Rehearsal.java
+++ b/src/main/java/flintlead/platform/Rehearsal.java
@@ -112,25 +112,48 @@
             + "\"tenants\":[{\"name\":\"m\",\"quota_per_s\":1000}]}}";
     }
 
+    /** One connection of a stand-in, by lines. */
+    private abstract static class Player implements StreamListener, LineDecoder.Sink {
+        final Stream stream;
+        boolean over;
+        private final LineDecoder lines = new LineDecoder(1_000, this);
+
+        Player(Stream stream) {
+            this.stream = stream;
+        }
+
+        @Override
+        public final void received(ByteBuf bytes) {
+            lines.feed(bytes, stream.alloc());
+        }
+
+        final void says(String text) {
+            stream.write(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        public final void tooLong(int most) {
+            stream.close();
+        }
+
+        @Override
+        public final void closed(String why) {
+            over = true;
+            lines.end();
+        }
+    }
+
     /** Answers most, some late; refuses, breaks off and leaves unanswered a few. */
-    private static final class Host implements StreamListener, LineDecoder.Sink {
+    private static final class Host extends Player {
         private static final int FULL_EVERY = 23;
         private static final int BREAK_EVERY = 101;
         private static final int LATE_EVERY = 5;
 
         private final NettyLoop stage;
-        private final Stream stream;
-        private final LineDecoder lines = new LineDecoder(1_000, this);
-        private boolean over;
 
         Host(NettyLoop stage, Stream stream) {
+            super(stream);
             this.stage = stage;
-            this.stream = stream;
-        }
-
-        @Override
-        public void received(ByteBuf bytes) {
-            lines.feed(bytes, stream.alloc());
         }
 
         @Override
@@ -144,56 +167,24 @@
                 over = true;
                 stream.abort();
             } else if (n % LATE_EVERY == 0) {
-                stage.after(Span.ofMillis(2), () -> answer(words[1], "200 meter=waiting:1,tell=started 4\r\nbody\r\n"));
+                stage.after(Span.ofMillis(2), () -> says(words[1] + " 200 meter=waiting:1,tell=started 4\r\nbody\r\n"));
             } else {
-                answer(words[1], n % FULL_EVERY == 0 ? "503 - 0\r\n\r\n" : "200 meter=waiting:0 4\r\nbody\r\n");
+                says(words[1] + (n % FULL_EVERY == 0 ? " 503 - 0\r\n\r\n" : " 200 meter=waiting:0 4\r\nbody\r\n"));
             }
         }
-
-        private void answer(String id, String rest) {
-            stream.write(Unpooled.copiedBuffer(id + " " + rest, StandardCharsets.US_ASCII));
-        }
-
-        @Override
-        public void tooLong(int most) {
-            stream.close();
-        }
-
-        @Override
-        public void closed(String why) {
-            over = true;
-            lines.end();
-        }
     }
 
     /** Tells of one more host, which drains. */
-    private static final class Journal implements StreamListener, LineDecoder.Sink {
-        private final Stream stream;
-        private final LineDecoder lines = new LineDecoder(100, this);
+    private static final class Journal extends Player {
 
         Journal(Stream stream) {
-            this.stream = stream;
-        }
-
-        @Override
-        public void received(ByteBuf bytes) {
-            lines.feed(bytes, stream.alloc());
+            super(stream);
         }
 
         @Override
         public void line(ByteBuf line) {
-            stream.write(Unpooled.copiedBuffer("{\"pos\":2,\"hosts\":{\"snapshot\":false,\"endpoints\":[{\"name\":\"i\",\"address\":\"unix:/none\","
-                + "\"status\":\"leaving\",\"since_ms\":1}]}}\n2\n", StandardCharsets.US_ASCII));
-        }
-
-        @Override
-        public void tooLong(int most) {
-            stream.close();
-        }
-
-        @Override
-        public void closed(String why) {
-            lines.end();
+            says("{\"pos\":2,\"hosts\":{\"snapshot\":false,\"endpoints\":[{\"name\":\"i\",\"address\":\"unix:/none\","
+                + "\"status\":\"leaving\",\"since_ms\":1}]}}\n2\n");
         }
     }
 }
--- a/src/main/java/flintlead/platform/link/HostConnection.java
+++ b/src/main/java/flintlead/platform/link/HostConnection.java
@@ -187,6 +187,9 @@
 
     @Override
     public void closed(String why) {
+        if (!over && why.contains("Too many open files")) {
+            way.exhausted();
+        }
         end(open ? HostWay.End.BROKEN : why.contains("reset") ? HostWay.End.SHUT : HostWay.End.REFUSED);
     }
 
--- a/src/main/java/flintlead/platform/link/HostWay.java
+++ b/src/main/java/flintlead/platform/link/HostWay.java
@@ -63,8 +63,8 @@
         all.log.accept(line);
     }
 
-    int connections() {
-        return connections.size();
+    void exhausted() {
+        all.exhausted();
     }
 
     /** Sends it, or lets it wait for a connection; its end never comes within this call. */
--- a/src/main/java/flintlead/platform/link/HostWays.java
+++ b/src/main/java/flintlead/platform/link/HostWays.java
@@ -91,6 +91,12 @@
         return false;
     }
 
+    /** The system had no descriptor left: nothing is opened for a moment, and the connection idle longest goes. */
+    void exhausted() {
+        budget.exhausted(loop.now());
+        shed(null);
+    }
+
     private void shed(HostWay whoAsks) {
         HostConnection idlest = null;
         for (HostWay way : ways.values()) {
--- a/src/test/java/flintlead/platform/PlatformTest.java
+++ b/src/test/java/flintlead/platform/PlatformTest.java
@@ -2,7 +2,6 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -334,6 +333,6 @@
             assertTrue(fault.contains(key), key + ": " + fault);
         }
         Files.writeString(stage.file, good);
-        assertFalse(stage.start().log.stream().anyMatch(line -> line.contains("can't")));
+        assertEquals(200, stage.start().ask(1, "x").status());
     }
 }
--- a/src/test/java/flintlead/platform/link/HostWayTest.java
+++ b/src/test/java/flintlead/platform/link/HostWayTest.java
@@ -207,6 +207,24 @@
         assertEquals(List.of("a MOOT", "b OK"), ends);
     }
 
+    @Test
+    void withNoDescriptorLeftTheIdleConnectionGoesAndNoneIsOpenedForAMoment() {
+        HostWay way = way();
+        ask(way, "a");
+        wires.get(0).open().says("a 200 - 0\r\n\r\n");
+        ways.listed(2, "i", Address.parse("tcp:127.0.0.1:2"), false);
+        ask(ways.to(2), "b");
+        wires.get(1).ends("no connection: Too many open files");
+        assertTrue(wires.get(0).closed);
+        ask(ways.to(2), "c");
+        run(Span.ZERO);
+        assertEquals(2, wires.size());
+        assertEquals(List.of("a OK", "b CONNECT_FAILED", "c CONNECT_FAILED"), ends);
+        run(Span.ofMillis(201));
+        ask(ways.to(2), "d");
+        assertEquals(3, wires.size());
+    }
+
     @Test
     void aConnectionThatDoesNotOpenInTimeIsGivenUp() {
         ask(way(), "a");
