--- a/deploy/platform.sh
+++ b/deploy/platform.sh
@@ -2,8 +2,21 @@
 # Starts one gateway of the platform within the memory that its configuration allows. The JVM must know its bounds
 # before it starts; the limit counts everything, so the heap is less than half of it.
 set -eu
-memory=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9]*\).*/\1/p' "$ROUTER_CONFIG" | head -n 1)
-memory=${memory:-64}
+# No other program is started and nothing forked: the platform refuses both, and the gateway is this one process.
+config=
+while IFS= read -r line || [ -n "$line" ]; do config="$config $line"; done <"$ROUTER_CONFIG"
+memory=64
+before=
+set -f
+IFS=' ,:{}[]'
+for word in $config; do
+  if [ "$before" = '"memory_mb"' ]; then
+    case ${word%%.*} in ''|*[!0-9]*) ;; *) memory=${word%%.*} ;; esac
+    break
+  fi
+  before=$word
+done
+unset IFS
 if [ "$memory" -ge 160 ]; then heap=64; code=24
 elif [ "$memory" -ge 96 ]; then heap=32; code=16
 elif [ "$memory" -ge 64 ]; then heap=16; code=12
