A dispatch is silent after its latency objective, no longer after a fixed 900 ms

The gateways' logs: of the dispatches that ended about as many CANCELLED as OK (n3: OK 44, CANCELLED 40 in 5 s), nearly no RESET or CONNECT_FAILED; a print of the invocations shows a second of work on average, with objectives of 6.9 and 11 s and a client timeout of 27.6 s. At fault: Control.SILENT_AFTER, 900 ms whatever the settings: a gateway that seldom hears a host found three dispatches out for 900 ms and called them back. It is now a multiple (1) of the invocation's own objective. The new test of ControlPathTest fails without the change.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -45,8 +45,11 @@
     private static final double TELL_FROM = 2;
     private static final Span TELL_EVERY = Span.ofMillis(300);
     private static final int TELL_PEERS = 3;
-    /** Out this long (a load: JOIN_UNTIL of its time) and the host unheard since: the host is silent. */
-    private static final Span SILENT_AFTER = Span.ofMillis(900);
+    /**
+     * Out for this multiple of its latency objective (a load: JOIN_UNTIL of its time) and the host unheard since:
+     * the host is silent. Not a fixed span: where an invocation works for a second, all hosts would be.
+     */
+    private static final double SILENT_AFTER = 1;
     private static final int SILENT_PROOF = 3;
     /** Share of failures among outcomes above which a host is set aside, and the weight of a new outcome. */
     private static final double FAILING_ABOVE = 0.45;
@@ -353,8 +356,8 @@
             host.cold.spend();
         }
         gateway.dispatch(inv.id, host.id(), inv.deadline);
-        Span patience = warm ? SILENT_AFTER : Span.longer(SILENT_AFTER, loadTime(inv).times(JOIN_UNTIL));
-        sent.watch = gateway.at(now.plus(patience), () -> watch(inv, sent));
+        Span load = warm ? Span.ZERO : loadTime(inv).times(JOIN_UNTIL);
+        sent.watch = gateway.at(now.plus(Span.longer(patience(inv), load)), () -> watch(inv, sent));
     }
 
     // ---- the guards of the rules ----
@@ -474,7 +477,7 @@
             if (++host.unheard >= (facts.secondCopies() ? 1 : SILENT_PROOF)) {
                 setAside(host);
             } else {
-                sent.watch = gateway.at(gateway.now().plus(SILENT_AFTER), () -> watch(inv, sent));
+                sent.watch = gateway.at(gateway.now().plus(patience(inv)), () -> watch(inv, sent));
             }
         }
         if (!inv.over && host.asideTimes > 0) {
@@ -482,6 +485,10 @@
         }
     }
 
+    private static Span patience(Invocation inv) {
+        return inv.row.latencyObjective().times(SILENT_AFTER);
+    }
+
     /** Moves an invocation off a host that answers nothing, as far as rule 2 lets it. */
     private void rescue(Invocation inv, Sent sent) {
         if (inv.inFlight > 1 || inv.dispatches.size() >= inv.row.dispatches()) {
--- a/src/test/java/flintlead/ControlPathTest.java
+++ b/src/test/java/flintlead/ControlPathTest.java
@@ -265,6 +265,23 @@
         assertEquals("succeeded", slow.answer);
     }
 
+    /**
+     * Where an invocation works for a second and more, a fixed span of 900 ms called every host silent: half of all
+     * dispatches were called back, and their invocations errored or done anew.
+     */
+    @Example
+    void whatWorksForLongIsNotSilence() {
+        Fleet slow = new Fleet(Fleet.facts(true, false, 8, 7000), 3);
+        for (long fn = 1; fn <= 9; fn++) {
+            slow.take((int) fn % 3, fn, 27_000);
+        }
+        slow.pass(5000);
+        assertEquals(9, slow.out.size());
+        assertTrue(slow.out.stream().allMatch(out -> out.outcome == null), "called back");
+        slow.pass(25_000);
+        assertTrue(slow.invs.values().stream().allMatch(taken -> taken.answer != null));
+    }
+
     /** Held invocations that can no longer be in time are throttled at once, not near their client timeout. */
     @Example
     void aHopelessInvocationIsAnsweredAtOnce() {
--- a/src/test/java/flintlead/Fleet.java
+++ b/src/test/java/flintlead/Fleet.java
@@ -96,17 +96,21 @@
     }
 
     static Deployment facts(boolean loadsWhenAbsent, boolean secondCopies, int gateways) {
+        return facts(loadsWhenAbsent, secondCopies, gateways, 1000);
+    }
+
+    static Deployment facts(boolean loadsWhenAbsent, boolean secondCopies, int gateways, double objective) {
         List<TriggerType> types = List.of(
-            type(3, Effect.IDEMPOTENT, Group.ALL), type(9, Effect.TOKENED, Group.ALL),
-            type(9, Effect.TOKENED, Group.CELL), type(9, Effect.NON_IDEMPOTENT, Group.ALL));
+            type(objective, 3, Effect.IDEMPOTENT, Group.ALL), type(objective, 9, Effect.TOKENED, Group.ALL),
+            type(objective, 9, Effect.TOKENED, Group.CELL), type(objective, 9, Effect.NON_IDEMPOTENT, Group.ALL));
         return new Deployment(0, gateways, 0, Span.ofMillis(2), false, types, List.of(40.0, 20.0),
             Span.ofMillis(8), Span.ZERO, 0.25, Span.ofMillis(17000), 2, Span.ofMillis(1500), 3, true, secondCopies,
             true, true, true, Span.ofMillis(500), loadsWhenAbsent, true, true, true, Span.ofMillis(8000),
             Span.ofMillis(10000), Span.ofMillis(5000), 1, 0.1, List.of("waiting"));
     }
 
-    private static TriggerType type(double value, Effect effect, Group group) {
-        return new TriggerType(Span.ofMillis(1000), value, effect, group, Span.ofMillis(2000), false);
+    private static TriggerType type(double objective, double value, Effect effect, Group group) {
+        return new TriggerType(Span.ofMillis(objective), value, effect, group, Span.ofMillis(2000), false);
     }
 
     HostEntry entry(long host, HostEntry.State state, long startedAt) {
