--- a/src/main/java/flintlead/cli/Main.java
+++ b/src/main/java/flintlead/cli/Main.java
@@ -22,7 +22,7 @@
             return;
         }
         if (args.length > 0 && args[0].equals("platform")) {
-            System.exit(flintlead.platform.Main.run(args.length > 1 && args[1].equals("rehearse")));
+            System.exit(flintlead.platform.Main.run(args.length > 1 && args[1].equals("warm-up")));
         }
         System.exit(Commands.run(args));
     }
--- a/src/main/java/flintlead/platform/Flight.java
+++ b/src/main/java/flintlead/platform/Flight.java
@@ -1,8 +1,8 @@
 package flintlead.platform;
 
 import flintlead.platform.front.Taker;
-import flintlead.platform.link.Errand;
-import flintlead.platform.link.HostWay;
+import flintlead.platform.link.ConnectionPool;
+import flintlead.platform.link.Request;
 import flintlead.port.Handle;
 import flintlead.port.Outcome;
 import flintlead.time.Moment;
@@ -15,8 +15,8 @@
     /** One dispatch of it. */
     static final class Sent {
         final Moment at;
-        HostWay way;
-        Errand errand;
+        ConnectionPool pool;
+        Request request;
         Runnable timer = () -> { };
         Outcome outcome;
 
--- a/src/main/java/flintlead/platform/Main.java
+++ b/src/main/java/flintlead/platform/Main.java
@@ -9,7 +9,7 @@
 public final class Main {
 
     private static final int BAD_CONFIGURATION = 2;
-    private static final Span REHEARSAL = Span.ofMillis(10_000);
+    private static final Span ARCHIVE_WARM_UP = Span.ofMillis(10_000);
     /** Longer would keep a gateway that was started anew out of service for nothing. */
     private static final Span WARM_UP = Span.ofMillis(2_500);
 
@@ -19,9 +19,9 @@
     /**
      * Serves until SIGTERM; gives back the exit code.
      *
-     * @param rehearse only to play a rehearsal, which the build does
+     * @param archive only to play the warm-up, from which the build archives classes
      */
-    public static int run(boolean rehearse) {
+    public static int run(boolean archive) {
         // Before all else: a JVM ends on SIGHUP.
         Platform[] platform = new Platform[1];
         boolean[] early = new boolean[1];
@@ -35,9 +35,9 @@
             }
         });
         Path folder = Path.of(System.getProperty("java.io.tmpdir"));
-        if (rehearse) {
+        if (archive) {
             try {
-                Rehearsal.play(folder, REHEARSAL);
+                WarmUp.play(folder, ARCHIVE_WARM_UP);
                 return 0;
             } catch (IOException e) {
                 System.err.println("flintlead: " + e.getMessage());
@@ -70,7 +70,7 @@
 
     private static void warmUp(Path folder) {
         try {
-            Rehearsal.play(folder, WARM_UP);
+            WarmUp.play(folder, WARM_UP);
         } catch (IOException | RuntimeException e) {
             System.err.println("flintlead: starts cold: " + e);
         }
--- a/src/main/java/flintlead/platform/Platform.java
+++ b/src/main/java/flintlead/platform/Platform.java
@@ -9,7 +9,7 @@
 import flintlead.platform.journal.HostEvents;
 import flintlead.platform.journal.JournalTail;
 import flintlead.platform.journal.Json;
-import flintlead.platform.link.HostWays;
+import flintlead.platform.link.ConnectionPools;
 import flintlead.platform.link.LinkTerms;
 import flintlead.port.Deployment;
 import flintlead.port.TriggerType;
@@ -97,11 +97,11 @@
         Random random = new Random(start.seed());
         int sockets = start.sockets() - DESCRIPTORS_KEPT;
         int clients = (int) (sockets * CLIENTS_PART);
-        HostWays ways = new HostWays(new LinkTerms(Math.max(8, sockets - clients), Math.max(1, (int) facts.number("limits.max_streams")),
+        ConnectionPools pools = new ConnectionPools(new LinkTerms(Math.max(8, sockets - clients), Math.max(1, (int) facts.number("limits.max_streams")),
             BODY_MOST, facts.span("limits.dial_timeout"), facts.span("limits.conn_idle"), facts.span("rules.drain_grace")), loop, loop, log);
         long bodies = (long) (Runtime.getRuntime().maxMemory() * BODIES_PART);
         Intake.Bounds bounds = new Intake.Bounds(clients, bodies, SHARE, 1, bodies, 1, 1, END_MOST);
-        gateway = new PlatformGateway(loop, ways, deployment, facts.names("services"), facts.span("limits.dial_timeout"), bounds,
+        gateway = new PlatformGateway(loop, pools, deployment, facts.names("services"), facts.span("limits.dial_timeout"), bounds,
             random.nextLong(), log);
         long offset = System.currentTimeMillis() * 1000 - loop.now().micros();
         HostEvents events = new HostEvents(facts.texts("dcs"), facts.texts("kinds"), ms -> new Moment(ms * 1000 - offset), gateway);
--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -6,10 +6,10 @@
 import flintlead.loop.Loop;
 import flintlead.platform.front.Taker;
 import flintlead.platform.journal.HostEvents;
-import flintlead.platform.link.Errand;
+import flintlead.platform.link.ConnectionPool;
+import flintlead.platform.link.ConnectionPools;
 import flintlead.platform.link.Fields;
-import flintlead.platform.link.HostWay;
-import flintlead.platform.link.HostWays;
+import flintlead.platform.link.Request;
 import flintlead.port.Call;
 import flintlead.port.Deployment;
 import flintlead.port.Dispatcher;
@@ -41,7 +41,7 @@
     private static final int CROWD_MOST = 30;
 
     private final Loop loop;
-    private final HostWays ways;
+    private final ConnectionPools pools;
     private final Deployment deployment;
     private final List<String> types;
     private final Span probeWait;
@@ -66,10 +66,10 @@
      * @param types the trigger types as the wire names them
      * @param bounds of what is taken
      */
-    PlatformGateway(Loop loop, HostWays ways, Deployment deployment, List<String> types, Span probeWait, Intake.Bounds bounds,
+    PlatformGateway(Loop loop, ConnectionPools pools, Deployment deployment, List<String> types, Span probeWait, Intake.Bounds bounds,
                     long seed, Consumer<String> log) {
         this.loop = loop;
-        this.ways = ways;
+        this.pools = pools;
         this.deployment = deployment;
         this.types = types;
         this.probeWait = probeWait;
@@ -85,7 +85,7 @@
     private void report() {
         StringBuilder line = new StringBuilder("taken ").append(taken).append(", throttled ").append(throttled).append(", errored ")
             .append(errored).append(", left by clients ").append(left).append(", open ").append(ledger.size())
-            .append(", connections to hosts ").append(ways.connections()).append(", stood still ").append(standstill.micros() / 1000)
+            .append(", connections to hosts ").append(pools.connections()).append(", stood still ").append(standstill.micros() / 1000)
             .append(" ms at most; dispatches:");
         for (Outcome outcome : Outcome.values()) {
             int count = outcomes[outcome.ordinal()];
@@ -202,8 +202,8 @@
         int number = flight.dispatches.size();
         Flight.Sent sent = new Flight.Sent(now());
         flight.dispatches.add(sent);
-        sent.way = ways.to(host);
-        sent.errand = new Errand(flight.id) {
+        sent.pool = pools.to(host);
+        sent.request = new Request(flight.id) {
             @Override
             protected void write(ByteBuf out) {
                 StringBuilder line = new StringBuilder(160).append("fire ").append(flight.id).append(" cls=").append(flight.triggerType)
@@ -222,7 +222,7 @@
                 PlatformGateway.this.ended(flight, number, outcome, fields, body);
             }
         };
-        if (sent.way == null) {
+        if (sent.pool == null) {
             at(now(), () -> ended(flight, number, Outcome.CONNECT_FAILED, null, null));
             return;
         }
@@ -230,9 +230,9 @@
         TriggerType type = deployment.triggerTypes().get(flight.type);
         if (number > 0 && type.effect() == TriggerType.Effect.TOKENED) {
             // Past the window the hosts know the token no more: what waits for a connection until then would be a second run.
-            at(flight.dispatches.get(0).at.plus(type.window()), () -> sent.way.holdBack(sent.errand));
+            at(flight.dispatches.get(0).at.plus(type.window()), () -> sent.pool.holdBack(sent.request));
         }
-        sent.way.run(sent.errand);
+        sent.pool.run(sent.request);
     }
 
     private void ended(Flight flight, int number, Outcome outcome, Fields fields, ByteBuf body) {
@@ -295,7 +295,7 @@
         Flight.Sent sent = flight.dispatches.get(number);
         if (sent.outcome == null) {
             // What never left can't have run, whatever ended the wait for it.
-            boolean unsent = sent.way == null || sent.way.withdraw(sent.errand);
+            boolean unsent = sent.pool == null || sent.pool.withdraw(sent.request);
             at(now(), () -> ended(flight, number, unsent ? Outcome.MOOT : ifSent, null, null));
         }
     }
@@ -315,12 +315,12 @@
     @Override
     public void load(long host, long function, int copies) {
         Moment asked = now();
-        HostWay way = ways.to(host);
-        if (way == null) {
+        ConnectionPool pool = pools.to(host);
+        if (pool == null) {
             at(asked, () -> dispatcher.loaded(host, function, Outcome.CONNECT_FAILED, Span.ZERO, 0));
             return;
         }
-        Errand order = new Tagged("provision", "item=" + hex(function) + ",units=" + copies) {
+        Request order = new Tagged("provision", "item=" + hex(function) + ",units=" + copies) {
             @Override
             protected void ended(Outcome outcome, Fields fields, ByteBuf body) {
                 dispatcher.loaded(host, function, outcome, now().since(asked), fields.number("units", 0));
@@ -328,30 +328,30 @@
         };
         at(asked.plus(deployment.loadWait()), () -> {
             if (!order.isOver()) {
-                way.withdraw(order);
+                pool.withdraw(order);
                 dispatcher.loaded(host, function, Outcome.TIMEOUT, now().since(asked), 0);
             }
         });
-        way.run(order);
+        pool.run(order);
     }
 
     @Override
     public void unload(long host, long function) {
-        HostWay way = ways.to(host);
-        if (way != null) {
-            way.tell("retire " + hex(function));
+        ConnectionPool pool = pools.to(host);
+        if (pool != null) {
+            pool.tell("retire " + hex(function));
         }
     }
 
     @Override
     public void probe(long host) {
         Moment asked = now();
-        HostWay way = ways.to(host);
-        if (way == null) {
+        ConnectionPool pool = pools.to(host);
+        if (pool == null) {
             at(asked, () -> dispatcher.probed(host, Outcome.CONNECT_FAILED, Span.ZERO, new float[0]));
             return;
         }
-        Errand probe = new Tagged("busy", "") {
+        Request probe = new Tagged("busy", "") {
             @Override
             protected void ended(Outcome outcome, Fields fields, ByteBuf body) {
                 dispatcher.probed(host, outcome, now().since(asked), report(fields));
@@ -359,15 +359,15 @@
         };
         at(asked.plus(probeWait), () -> {
             if (!probe.isOver()) {
-                way.withdraw(probe);
+                pool.withdraw(probe);
                 dispatcher.probed(host, Outcome.TIMEOUT, now().since(asked), new float[0]);
             }
         });
-        way.run(probe);
+        pool.run(probe);
     }
 
     /** A command under a tag of the gateway's own. */
-    private abstract class Tagged extends Errand {
+    private abstract class Tagged extends Request {
         private final String command;
         private final String rest;
 
@@ -395,9 +395,9 @@
 
     @Override
     public void closeIdle(long host) {
-        HostWay way = ways.to(host);
-        if (way != null) {
-            way.closeIdle();
+        ConnectionPool pool = pools.to(host);
+        if (pool != null) {
+            pool.closeIdle();
         }
     }
 
@@ -453,12 +453,12 @@
             gone(number);
         } else {
             listed.add(number);
-            ways.listed(number, host.name(), host.address(), host.entry().state() == HostEntry.State.DRAINING);
+            pools.listed(number, host.name(), host.address(), host.entry().state() == HostEntry.State.DRAINING);
         }
     }
 
     private void gone(long host) {
         listed.remove(host);
-        ways.left(host);
+        pools.left(host);
     }
 }
--- a/src/main/java/flintlead/platform/Rehearsal.java
+++ b/src/main/java/flintlead/platform/WarmUp.java
@@ -25,14 +25,14 @@
  * that Java can write down the classes that a gateway needs, and what a gateway runs before it is ready. On its part of a core
  * it would else serve its first seconds' invocations many times slower than later ones, and throttle most.
  */
-final class Rehearsal {
+final class WarmUp {
 
     private static final int HOSTS = 3;
     private static final int CONNECTIONS = 6;
     private static final int FUNCTIONS = 40;
     private static final int MOST = 6_000;
 
-    private Rehearsal() {
+    private WarmUp() {
     }
 
     /**
@@ -42,7 +42,7 @@
      */
     static void play(Path folder, Span most) throws IOException {
         Path own = Files.createTempDirectory(folder, "r");
-        NettyLoop stage = new NettyLoop("rehearsal");
+        NettyLoop stage = new NettyLoop("warm-up");
         List<Path> made = new ArrayList<>();
         try {
             StringJoiner hosts = new StringJoiner(",");
@@ -103,7 +103,7 @@
     }
 
     private static String configuration(Path door, Path journal, String hosts) {
-        return "{\"name\":\"rehearsal\",\"listen\":\"unix:" + door + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":64,\"sockets\":128},\"journal\":\"unix:"
+        return "{\"name\":\"warm-up\",\"listen\":\"unix:" + door + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":64,\"sockets\":128},\"journal\":\"unix:"
             + journal + "\",\"known\":{\"pos\":1,\"entries\":[{\"pos\":1,\"hosts\":{\"snapshot\":true,\"endpoints\":[" + hosts + "]}}]},"
             + "\"settings\":{\"group_size\":1,\"tick\":1000,\"limits\":{\"attempts_cap\":3,\"cancel\":true,\"max_streams\":10,\"dial_timeout\":1000000,"
             + "\"conn_idle\":15000000},\"extra\":{\"idle_life\":4000000},\"feedback\":{\"names\":[\"waiting\"]},\"services\":["
--- a/src/main/java/flintlead/platform/journal/JournalTail.java
+++ b/src/main/java/flintlead/platform/journal/JournalTail.java
@@ -35,7 +35,7 @@
     private final Random random;
     private final Consumer<String> log;
     private Address address;
-    private Telling telling;
+    private Watch current;
     private int failures;
     private boolean stopped;
 
@@ -59,8 +59,8 @@
         if (!to.equals(address)) {
             address = to;
             failures = 0;
-            if (telling != null) {
-                telling.drop();
+            if (current != null) {
+                current.drop();
             }
             ask();
         }
@@ -68,19 +68,19 @@
 
     public void stop() {
         stopped = true;
-        if (telling != null) {
-            telling.drop();
+        if (current != null) {
+            current.drop();
         }
     }
 
     private void ask() {
-        telling = new Telling();
-        telling.stream = transport.connect(address, telling);
-        telling.watch(DIAL);
+        current = new Watch();
+        current.stream = transport.connect(address, current);
+        current.watch(DIAL);
     }
 
     /** One connection to the service. */
-    private final class Telling implements StreamListener, LineDecoder.Sink {
+    private final class Watch implements StreamListener, LineDecoder.Sink {
         private final LineDecoder lines = new LineDecoder(LINE_MOST, this);
         private Stream stream;
         private Runnable watch = () -> { };
@@ -152,7 +152,7 @@
             if (!stopped) {
                 log.accept("journal at " + address + ": " + why);
                 loop.after(bound.times(0.5 + random.nextDouble() / 2), () -> {
-                    if (telling == this && !stopped) {
+                    if (current == this && !stopped) {
                         ask();
                     }
                 });
--- a/src/main/java/flintlead/platform/link/HostWay.java
+++ b/src/main/java/flintlead/platform/link/ConnectionPool.java
@@ -13,31 +13,31 @@
  * The connections to one host. One request a connection as long as there is room for connections, as a spoilt answer takes
  * everything with it that is open on its connection; beyond that many share one.
  */
-public final class HostWay {
+public final class ConnectionPool {
 
     /** How a connection ended. */
     enum End { OURS, REFUSED, SHUT, BROKEN, SPOILT }
 
     /** How long it is asked after a connection broke whether the host lives, before the host is taken to have died. */
-    private static final Span LIMBO = Span.ofMillis(150);
+    private static final Span LIFE_CHECK = Span.ofMillis(150);
     /** Connections that may be reset while new under a request that has not left, before it ends. */
     private static final int DIALS = 4;
     private static final int WAITING_MOST = 2_000;
     /** Our own end of an idle connection, as a share of the host's: a request would cross the host's close. */
     private static final double IDLE_SHARE = 0.6;
 
-    private final HostWays all;
+    private final ConnectionPools all;
     private final String name;
     private final Address address;
     private final List<HostConnection> connections = new ArrayList<>();
-    private final Deque<Errand> waiting = new ArrayDeque<>();
+    private final Deque<Request> waiting = new ArrayDeque<>();
     /** Requests whose connection broke, while it is asked whether the host lives. */
-    private final List<Errand> limbo = new ArrayList<>();
+    private final List<Request> unsettled = new ArrayList<>();
     private int opening;
     private boolean draining;
     private boolean left;
 
-    HostWay(HostWays all, String name, Address address) {
+    ConnectionPool(ConnectionPools all, String name, Address address) {
         this.all = all;
         this.name = name;
         this.address = address;
@@ -68,17 +68,17 @@
     }
 
     /** Sends it, or lets it wait for a connection; its end never comes within this call. */
-    public void run(Errand errand) {
+    public void run(Request request) {
         if (draining || waiting.size() >= WAITING_MOST) {
-            later(errand, draining ? Outcome.CONNECT_FAILED : Outcome.FULL);
+            later(request, draining ? Outcome.CONNECT_FAILED : Outcome.FULL);
             return;
         }
-        waiting.add(errand);
+        waiting.add(request);
         sendWaiting();
     }
 
-    private void later(Errand errand, Outcome outcome) {
-        all.loop.at(now(), () -> errand.end(outcome, Fields.NONE, null));
+    private void later(Request request, Outcome outcome) {
+        all.loop.at(now(), () -> request.end(outcome, Fields.NONE, null));
     }
 
     /** A command that has no answer; dropped where no connection is open. */
@@ -93,8 +93,8 @@
 
     private void sendWaiting() {
         while (!waiting.isEmpty()) {
-            Errand errand = waiting.peek();
-            HostConnection idle = best(errand, true);
+            Request request = waiting.peek();
+            HostConnection idle = best(request, true);
             if (idle == null && mayDial()) {
                 // Fewer than wait are being opened, or there is room: one more, and it waits for whichever is first.
                 if (opening >= waiting.size() || dial()) {
@@ -104,26 +104,26 @@
                     continue;
                 }
             }
-            HostConnection to = idle != null ? idle : best(errand, false);
+            HostConnection to = idle != null ? idle : best(request, false);
             if (to == null) {
-                if (opening == 0 && connections.isEmpty() && limbo.isEmpty()) {
+                if (opening == 0 && connections.isEmpty() && unsettled.isEmpty()) {
                     // Neither a connection nor a way to open one: it may go elsewhere at once.
                     waiting.poll();
-                    later(errand, Outcome.CONNECT_FAILED);
+                    later(request, Outcome.CONNECT_FAILED);
                     continue;
                 }
                 return;
             }
             waiting.poll();
-            to.send(errand);
+            to.send(request);
         }
     }
 
     /** The idle connection used last, or the least laden one. */
-    private HostConnection best(Errand errand, boolean idle) {
+    private HostConnection best(Request request, boolean idle) {
         HostConnection best = null;
         for (HostConnection connection : connections) {
-            if (connection.takes(errand) && (!idle || connection.isIdle())
+            if (connection.takes(request) && (!idle || connection.isIdle())
                 && (best == null || connection.load() < best.load()
                 || connection.load() == best.load() && connection.usedAt().isAfter(best.usedAt()))) {
                 best = connection;
@@ -157,21 +157,21 @@
      * Ends a request early. Gives back whether it is proven that it never left; else the host is told, and no answer is waited
      * for any more.
      */
-    public boolean withdraw(Errand errand) {
-        errand.over = true;
-        limbo.remove(errand);
-        if (!errand.sent) {
-            waiting.remove(errand);
+    public boolean withdraw(Request request) {
+        request.over = true;
+        unsettled.remove(request);
+        if (!request.sent) {
+            waiting.remove(request);
             return true;
         }
-        errand.connection.recall(errand);
+        request.connection.recall(request);
         return false;
     }
 
     /** From now on it must not leave any more; one that has left is not touched. Its end comes later. */
-    public void holdBack(Errand errand) {
-        if (waiting.remove(errand)) {
-            later(errand, Outcome.MOOT);
+    public void holdBack(Request request) {
+        if (waiting.remove(request)) {
+            later(request, Outcome.MOOT);
         }
     }
 
@@ -193,33 +193,33 @@
         sendWaiting();
     }
 
-    /** The host lives, only the way broke: what was out on it may have run, and the host may be sent to. */
+    /** The host lives, only the connection broke: what was out on it may have run, and the host may be sent to. */
     private void lives() {
-        if (!limbo.isEmpty()) {
-            List<Errand> strays = List.copyOf(limbo);
-            limbo.clear();
-            strays.forEach(errand -> later(errand, Outcome.STRAYED));
+        if (!unsettled.isEmpty()) {
+            List<Request> strays = List.copyOf(unsettled);
+            unsettled.clear();
+            strays.forEach(request -> later(request, Outcome.STRAYED));
         }
     }
 
-    void gone(HostConnection connection, List<Errand> unanswered, End how) {
+    void gone(HostConnection connection, List<Request> unanswered, End how) {
         connections.remove(connection);
         all.opened(-1);
         if (!connection.wasOpen()) {
             opening--;
         }
         if (how == End.SPOILT) {
-            unanswered.forEach(errand -> later(errand, Outcome.STRAYED));
+            unanswered.forEach(request -> later(request, Outcome.STRAYED));
         } else if (how == End.BROKEN && !unanswered.isEmpty()) {
-            limbo.addAll(unanswered);
+            unsettled.addAll(unanswered);
             boolean asked = opening > 0 || mayDial() && dial();
-            all.loop.after(asked ? LIMBO : Span.ZERO, () -> died(unanswered));
+            all.loop.after(asked ? LIFE_CHECK : Span.ZERO, () -> died(unanswered));
         } else if (how == End.SHUT) {
             // Reset while new: whoever could do that had accepted it, so that somebody listens there.
             lives();
             unopened(1);
         } else if (how == End.REFUSED) {
-            died(List.copyOf(limbo));
+            died(List.copyOf(unsettled));
             unopened(DIALS);
         }
         if (how == End.OURS) {
@@ -230,10 +230,10 @@
         }
     }
 
-    private void died(List<Errand> errands) {
-        for (Errand errand : errands) {
-            if (limbo.remove(errand)) {
-                later(errand, Outcome.RESET);
+    private void died(List<Request> requests) {
+        for (Request request : requests) {
+            if (unsettled.remove(request)) {
+                later(request, Outcome.RESET);
             }
         }
     }
@@ -241,11 +241,11 @@
     /** No connection came about: what waited for one ends where the host takes none, and no other is open. */
     private void unopened(int tries) {
         boolean others = connections.stream().anyMatch(HostConnection::isOpen);
-        for (Errand errand : List.copyOf(waiting)) {
-            errand.dials += tries;
-            if (errand.dials >= DIALS && !others) {
-                waiting.remove(errand);
-                later(errand, Outcome.CONNECT_FAILED);
+        for (Request request : List.copyOf(waiting)) {
+            request.dials += tries;
+            if (request.dials >= DIALS && !others) {
+                waiting.remove(request);
+                later(request, Outcome.CONNECT_FAILED);
             }
         }
     }
@@ -256,9 +256,9 @@
     void drains() {
         if (!draining) {
             draining = true;
-            List<Errand> unsent = List.copyOf(waiting);
+            List<Request> unsent = List.copyOf(waiting);
             waiting.clear();
-            unsent.forEach(errand -> later(errand, Outcome.CONNECT_FAILED));
+            unsent.forEach(request -> later(request, Outcome.CONNECT_FAILED));
             List.copyOf(connections).forEach(HostConnection::leave);
             // What still lies in a send buffer would arrive after the grace.
             all.loop.after(terms().drainGrace().times(0.5), () -> {
@@ -282,7 +282,7 @@
     }
 
     boolean isEmpty() {
-        return connections.isEmpty() && waiting.isEmpty() && limbo.isEmpty();
+        return connections.isEmpty() && waiting.isEmpty() && unsettled.isEmpty();
     }
 
     /** Closes idle connections before the host does, and those cut off in the middle of an answer. */
--- a/src/main/java/flintlead/platform/link/HostWays.java
+++ b/src/main/java/flintlead/platform/link/ConnectionPools.java
@@ -10,8 +10,8 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** The ways to all hosts, within one bound on their connections. */
-public final class HostWays {
+/** The connections to all hosts, within one bound on their connections. */
+public final class ConnectionPools {
 
     private static final Span LOOK_ROUND = Span.ofMillis(50);
     private static final double DIALS_PER_SECOND = 2_000;
@@ -23,12 +23,12 @@
     final Transport transport;
     final Consumer<String> log;
     private final DialBudget budget;
-    private final Map<Long, HostWay> ways = new TreeMap<>();
+    private final Map<Long, ConnectionPool> pools = new TreeMap<>();
     /** Of hosts that have left, until the last of their connections has ended. */
-    private final Map<Long, HostWay> leaving = new TreeMap<>();
+    private final Map<Long, ConnectionPool> leaving = new TreeMap<>();
     private int connections;
 
-    public HostWays(LinkTerms terms, Loop loop, Transport transport, Consumer<String> log) {
+    public ConnectionPools(LinkTerms terms, Loop loop, Transport transport, Consumer<String> log) {
         this.terms = terms;
         this.loop = loop;
         this.transport = transport;
@@ -40,52 +40,52 @@
     private void lookRound() {
         loop.after(LOOK_ROUND, () -> {
             Moment now = loop.now();
-            ways.values().forEach(way -> way.check(now));
-            leaving.values().forEach(way -> way.check(now));
-            leaving.values().removeIf(HostWay::isEmpty);
+            pools.values().forEach(pool -> pool.check(now));
+            leaving.values().forEach(pool -> pool.check(now));
+            leaving.values().removeIf(ConnectionPool::isEmpty);
             lookRound();
         });
     }
 
-    /** The way to a listed host; null where it is not listed. */
-    public HostWay to(long host) {
-        return ways.get(host);
+    /** The connections to a listed host; null where it is not listed. */
+    public ConnectionPool to(long host) {
+        return pools.get(host);
     }
 
     /** The list has the host. */
     public void listed(long host, String name, Address address, boolean draining) {
-        HostWay way = ways.get(host);
-        if (way != null && !way.address().equals(address)) {
+        ConnectionPool pool = pools.get(host);
+        if (pool != null && !pool.address().equals(address)) {
             left(host);
-            way = null;
+            pool = null;
         }
-        if (way == null) {
-            way = new HostWay(this, name, address);
-            ways.put(host, way);
+        if (pool == null) {
+            pool = new ConnectionPool(this, name, address);
+            pools.put(host, pool);
         }
         if (draining) {
-            way.drains();
+            pool.drains();
         } else {
-            way.returns();
+            pool.returns();
         }
     }
 
     /** The host is in the list no more. */
     public void left(long host) {
-        HostWay way = ways.remove(host);
-        if (way != null) {
-            way.leaves();
-            leaving.put(host, way);
+        ConnectionPool pool = pools.remove(host);
+        if (pool != null) {
+            pool.leaves();
+            leaving.put(host, pool);
         }
     }
 
-    boolean mayOpen(HostWay way) {
+    boolean mayOpen(ConnectionPool pool) {
         Moment now = loop.now();
         if (budget.open(now, connections)) {
             return true;
         }
         if (budget.sheds(now, connections)) {
-            shed(way);
+            shed(pool);
             return budget.open(now, connections);
         }
         return false;
@@ -97,10 +97,10 @@
         shed(null);
     }
 
-    private void shed(HostWay whoAsks) {
+    private void shed(ConnectionPool whoAsks) {
         HostConnection idlest = null;
-        for (HostWay way : ways.values()) {
-            HostConnection one = way == whoAsks ? null : way.idlest();
+        for (ConnectionPool pool : pools.values()) {
+            HostConnection one = pool == whoAsks ? null : pool.idlest();
             if (one != null && (idlest == null || one.usedAt().isBefore(idlest.usedAt()))) {
                 idlest = one;
             }
@@ -112,7 +112,7 @@
 
     /** An even part for each host, so that one in trouble does not take all. */
     int mostOfOne() {
-        return Math.max(2, Math.min(OF_ONE_MOST, 2 * terms.connections() / Math.max(1, ways.size())));
+        return Math.max(2, Math.min(OF_ONE_MOST, 2 * terms.connections() / Math.max(1, pools.size())));
     }
 
     void opened(int more) {
--- a/src/main/java/flintlead/platform/link/HostConnection.java
+++ b/src/main/java/flintlead/platform/link/HostConnection.java
@@ -19,9 +19,9 @@
     /** An answer that has begun and does not go on for this long was cut off: hosts write answers whole. */
     private static final Span CUT_OFF = Span.ofMillis(250);
 
-    private final HostWay way;
+    private final ConnectionPool pool;
     private final AnswerLines lines;
-    private final Map<String, Errand> out = new LinkedHashMap<>();
+    private final Map<String, Request> out = new LinkedHashMap<>();
     private Stream stream;
     private boolean open;
     private boolean over;
@@ -32,10 +32,10 @@
     private Moment heardAt;
     private Moment midwaySince;
 
-    HostConnection(HostWay way) {
-        this.way = way;
-        this.lines = new AnswerLines(way.terms().body(), this);
-        this.usedAt = way.now();
+    HostConnection(ConnectionPool pool) {
+        this.pool = pool;
+        this.lines = new AnswerLines(pool.terms().body(), this);
+        this.usedAt = pool.now();
         this.heardAt = usedAt;
     }
 
@@ -61,11 +61,11 @@
 
     /** Whether a new request may be written to it. */
     boolean takes() {
-        return isOpen() && !doubted && !leaving && !lines.isMidway() && out.size() < way.terms().streams() && stream.unsent() == 0;
+        return isOpen() && !doubted && !leaving && !lines.isMidway() && out.size() < pool.terms().streams() && stream.unsent() == 0;
     }
 
-    boolean takes(Errand errand) {
-        return takes() && !out.containsKey(errand.tag);
+    boolean takes(Request request) {
+        return takes() && !out.containsKey(request.tag);
     }
 
     int load() {
@@ -80,32 +80,32 @@
         return isOpen() && stream.unsent() > 0;
     }
 
-    void send(Errand errand) {
-        errand.connection = this;
-        errand.sent = true;
-        errand.sentAt = way.now();
-        usedAt = way.now();
-        out.put(errand.tag, errand);
+    void send(Request request) {
+        request.connection = this;
+        request.sent = true;
+        request.sentAt = pool.now();
+        usedAt = pool.now();
+        out.put(request.tag, request);
         ByteBuf bytes = Unpooled.buffer(256);
-        errand.write(bytes);
+        request.write(bytes);
         stream.write(bytes);
     }
 
     /** A command that has no answer. */
     void write(String line) {
-        usedAt = way.now();
+        usedAt = pool.now();
         stream.write(Unpooled.copiedBuffer(line + "\r\n", StandardCharsets.US_ASCII));
     }
 
-    /** The errand is given up; the host is told. A connection that has been silent since is not used for anything new. */
-    void recall(Errand errand) {
-        if (out.remove(errand.tag) == null || over) {
+    /** The request is given up; the host is told. A connection that has been silent since is not used for anything new. */
+    void recall(Request request) {
+        if (out.remove(request.tag) == null || over) {
             return;
         }
-        if (errand.canBeRecalled()) {
-            write("never_mind " + errand.tag);
+        if (request.canBeRecalled()) {
+            write("never_mind " + request.tag);
         }
-        if (!heardAt.isAfter(errand.sentAt)) {
+        if (!heardAt.isAfter(request.sentAt)) {
             doubted = true;
         }
         endIfDone();
@@ -131,30 +131,30 @@
             over = true;
             lines.end();
             stream.close();
-            way.gone(this, List.of(), HostWay.End.OURS);
+            pool.gone(this, List.of(), ConnectionPool.End.OURS);
         }
     }
 
     void abort() {
-        end(HostWay.End.OURS);
+        end(ConnectionPool.End.OURS);
     }
 
     void check(Moment now) {
         if (isOpen() && lines.isMidway() && midwaySince != null && now.since(midwaySince).isLongerThan(CUT_OFF)) {
-            end(HostWay.End.SPOILT);
+            end(ConnectionPool.End.SPOILT);
         }
     }
 
-    private void end(HostWay.End how) {
+    private void end(ConnectionPool.End how) {
         if (over) {
             return;
         }
         over = true;
         lines.end();
         stream.abort();
-        List<Errand> unanswered = new ArrayList<>(out.values());
+        List<Request> unanswered = new ArrayList<>(out.values());
         out.clear();
-        way.gone(this, unanswered, how);
+        pool.gone(this, unanswered, how);
     }
 
     // ---- from the stream ----
@@ -163,34 +163,34 @@
     public void opened() {
         if (!over) {
             open = true;
-            way.opened(this);
+            pool.opened(this);
         }
     }
 
     @Override
     public void received(ByteBuf bytes) {
-        heardAt = way.now();
+        heardAt = pool.now();
         doubted = false;
         midwaySince = heardAt;
         lines.feed(bytes);
         if (!over) {
-            way.heard(this);
+            pool.heard(this);
         }
     }
 
     @Override
     public void drained() {
         if (!over) {
-            way.heard(null);
+            pool.heard(null);
         }
     }
 
     @Override
     public void closed(String why) {
         if (!over && why.contains("Too many open files")) {
-            way.exhausted();
+            pool.exhausted();
         }
-        end(open ? HostWay.End.BROKEN : why.contains("reset") ? HostWay.End.SHUT : HostWay.End.REFUSED);
+        end(open ? ConnectionPool.End.BROKEN : why.contains("reset") ? ConnectionPool.End.SHUT : ConnectionPool.End.REFUSED);
     }
 
     @Override
@@ -208,17 +208,17 @@
             return;
         }
         // One under an unknown id, or a second copy, is passed over: what belongs to others here still comes whole.
-        Errand errand = out.remove(id);
-        if (errand != null) {
-            usedAt = way.now();
-            errand.end(outcome, fields, body);
+        Request request = out.remove(id);
+        if (request != null) {
+            usedAt = pool.now();
+            request.end(outcome, fields, body);
             endIfDone();
         }
     }
 
     @Override
     public void unreadable(String why) {
-        way.log("host " + way.name() + ": " + why);
-        end(HostWay.End.SPOILT);
+        pool.log("host " + pool.name() + ": " + why);
+        end(ConnectionPool.End.SPOILT);
     }
 }
--- a/src/main/java/flintlead/platform/link/LinkTerms.java
+++ b/src/main/java/flintlead/platform/link/LinkTerms.java
@@ -3,7 +3,7 @@
 import flintlead.time.Span;
 
 /**
- * Bounds of the ways to hosts.
+ * Bounds of the connections to hosts.
  *
  * @param connections to all hosts together
  * @param streams requests on one connection
--- a/src/main/java/flintlead/platform/link/Errand.java
+++ b/src/main/java/flintlead/platform/link/Request.java
@@ -4,8 +4,8 @@
 import flintlead.time.Moment;
 import io.netty.buffer.ByteBuf;
 
-/** One request to a host, from being handed to its way until it has ended. */
-public abstract class Errand {
+/** One request to a host, from being handed to its pool until it has ended. */
+public abstract class Request {
 
     final String tag;
     HostConnection connection;
@@ -16,7 +16,7 @@
     Moment sentAt;
 
     /** @param tag what the answer comes under */
-    protected Errand(String tag) {
+    protected Request(String tag) {
         this.tag = tag;
     }
 
--- a/src/test/java/flintlead/platform/link/HostWayTest.java
+++ b/src/test/java/flintlead/platform/link/ConnectionPoolTest.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Test;
 
 /** What a request is told of its end, for each way in which connections end; in virtual time, without sockets. */
-class HostWayTest {
+class ConnectionPoolTest {
 
     /** A connection as the test plays it. */
     private final class Wire implements Stream {
@@ -117,7 +117,7 @@
     private final World world = new World();
     private final List<Wire> wires = new ArrayList<>();
     private final List<String> ends = new ArrayList<>();
-    private final HostWays ways = new HostWays(new LinkTerms(100, 10, 1_000, Span.ofMillis(250), Span.ofMillis(15_000), Span.ofMillis(1_000)),
+    private final ConnectionPools pools = new ConnectionPools(new LinkTerms(100, 10, 1_000, Span.ofMillis(250), Span.ofMillis(15_000), Span.ofMillis(1_000)),
         world, world, line -> { });
 
     private void run(Span span) {
@@ -129,13 +129,13 @@
         world.now = end;
     }
 
-    private HostWay way() {
-        ways.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), false);
-        return ways.to(1);
+    private ConnectionPool pool() {
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), false);
+        return pools.to(1);
     }
 
-    private Errand ask(HostWay way, String id) {
-        Errand errand = new Errand(id) {
+    private Request ask(ConnectionPool pool, String id) {
+        Request request = new Request(id) {
             @Override
             protected void write(ByteBuf out) {
                 out.writeCharSequence("fire " + id + " - 0\r\n\r\n", StandardCharsets.US_ASCII);
@@ -146,19 +146,19 @@
                 ends.add(id + " " + outcome);
             }
         };
-        way.run(errand);
-        return errand;
+        pool.run(request);
+        return request;
     }
 
     @Test
     void resetWhileNewIsNoRefusalAndWhatHadNotLeftIsSentOnTheNext() {
-        HostWay way = way();
-        ask(way, "a");
+        ConnectionPool pool = pool();
+        ask(pool, "a");
         wires.get(0).open();
         wires.get(0).ends("Connection reset");
         wires.get(1).ends("no connection: Connection reset by peer");
         assertEquals(List.of("a STRAYED"), ends, "whoever resets a new connection has accepted it");
-        ask(way, "b");
+        ask(pool, "b");
         wires.get(2).ends("no connection: Connection reset by peer");
         wires.get(3).open().says("b 200 - 0\r\n\r\n");
         assertEquals(List.of("a STRAYED", "b OK"), ends);
@@ -166,7 +166,7 @@
 
     @Test
     void aHostThatRefusesAfterABreakHasDied() {
-        ask(way(), "a");
+        ask(pool(), "a");
         wires.get(0).open().ends("Connection reset");
         wires.get(1).ends("no connection: Connection refused");
         assertEquals(List.of("a RESET"), ends);
@@ -174,7 +174,7 @@
 
     @Test
     void aHostOfWhichNothingIsHeardAfterABreakHasDied() {
-        ask(way(), "a");
+        ask(pool(), "a");
         wires.get(0).open().ends("Connection reset");
         run(Span.ofMillis(149));
         assertEquals(List.of(), ends);
@@ -184,9 +184,9 @@
 
     @Test
     void whatNeverLeftIsProvenNotToHaveRun() {
-        HostWay way = way();
-        ask(way, "a");
-        assertTrue(way.withdraw(ask(way, "b")), "still waiting");
+        ConnectionPool pool = pool();
+        ask(pool, "a");
+        assertTrue(pool.withdraw(ask(pool, "b")), "still waiting");
         wires.get(0).ends("no connection: Connection refused");
         wires.get(1).ends("no connection: Connection refused");
         assertEquals(List.of("a CONNECT_FAILED"), ends);
@@ -194,40 +194,40 @@
 
     @Test
     void whatIsHeldBackNeverLeavesAndWhatHasLeftIsNotTouched() {
-        HostWay way = way();
-        Errand waits = ask(way, "a");
-        way.holdBack(waits);
+        ConnectionPool pool = pool();
+        Request waits = ask(pool, "a");
+        pool.holdBack(waits);
         run(Span.ZERO);
         assertEquals(List.of("a MOOT"), ends);
         wires.get(0).open();
         assertTrue(wires.get(0).written.isEmpty());
-        Errand left = ask(way, "b");
-        way.holdBack(left);
+        Request left = ask(pool, "b");
+        pool.holdBack(left);
         wires.get(0).says("b 200 - 0\r\n\r\n");
         assertEquals(List.of("a MOOT", "b OK"), ends);
     }
 
     @Test
     void withNoDescriptorLeftTheIdleConnectionGoesAndNoneIsOpenedForAMoment() {
-        HostWay way = way();
-        ask(way, "a");
+        ConnectionPool pool = pool();
+        ask(pool, "a");
         wires.get(0).open().says("a 200 - 0\r\n\r\n");
-        ways.listed(2, "i", Address.parse("tcp:127.0.0.1:2"), false);
-        ask(ways.to(2), "b");
+        pools.listed(2, "i", Address.parse("tcp:127.0.0.1:2"), false);
+        ask(pools.to(2), "b");
         wires.get(1).ends("no connection: Too many open files");
         assertTrue(wires.get(0).closed);
-        ask(ways.to(2), "c");
+        ask(pools.to(2), "c");
         run(Span.ZERO);
         assertEquals(2, wires.size());
         assertEquals(List.of("a OK", "b CONNECT_FAILED", "c CONNECT_FAILED"), ends);
         run(Span.ofMillis(201));
-        ask(ways.to(2), "d");
+        ask(pools.to(2), "d");
         assertEquals(3, wires.size());
     }
 
     @Test
     void aConnectionThatDoesNotOpenInTimeIsGivenUp() {
-        ask(way(), "a");
+        ask(pool(), "a");
         run(Span.ofMillis(251));
         assertTrue(wires.get(0).aborted);
         assertEquals(List.of("a CONNECT_FAILED"), ends);
@@ -235,9 +235,9 @@
 
     @Test
     void aSpoiltAnswerTakesOnlyItsConnection() {
-        HostWay way = way();
-        ask(way, "a");
-        ask(way, "b");
+        ConnectionPool pool = pool();
+        ask(pool, "a");
+        ask(pool, "b");
         wires.get(0).open();
         wires.get(1).open();
         wires.get(0).says("a 200 - 3000000000\r\n");
@@ -248,11 +248,11 @@
 
     @Test
     void aDrainingHostGetsNothingThatStillWaitsAndNothingOutOfABuffer() {
-        HostWay way = way();
-        ask(way, "a");
+        ConnectionPool pool = pool();
+        ask(pool, "a");
         wires.get(0).open().unsent = 10;
-        ask(way, "b");
-        ways.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), true);
+        ask(pool, "b");
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), true);
         run(Span.ZERO);
         assertEquals(List.of("b CONNECT_FAILED"), ends);
         wires.get(1).open();
@@ -264,19 +264,19 @@
 
     @Test
     void aConnectionSilentSinceARequestWasGivenUpCarriesNoOther() {
-        HostWay way = way();
-        Errand first = ask(way, "a");
+        ConnectionPool pool = pool();
+        Request first = ask(pool, "a");
         wires.get(0).open();
         run(Span.ofMillis(1));
-        way.withdraw(first);
-        ask(way, "b");
+        pool.withdraw(first);
+        ask(pool, "b");
         assertEquals(2, wires.size());
         assertTrue(wires.get(0).aborted);
     }
 
     @Test
     void anAnswerThatStopsShortEndsItsConnection() {
-        ask(way(), "a");
+        ask(pool(), "a");
         wires.get(0).open().says("a 200 - 5\r\nab");
         run(Span.ofMillis(400));
         assertEquals(List.of("a STRAYED"), ends);
@@ -284,9 +284,9 @@
 
     @Test
     void connectionsAreBoundedAndIdleOnesEndBeforeTheHostEndsThem() {
-        HostWay way = way();
+        ConnectionPool pool = pool();
         for (int i = 0; i < 200; i++) {
-            ask(way, "i" + i);
+            ask(pool, "i" + i);
             if (i < wires.size()) {
                 wires.get(i).open();
             }
@@ -300,6 +300,6 @@
         assertEquals(200, ends.size());
         run(Span.ofMillis(9_200));
         assertTrue(wires.stream().allMatch(wire -> wire.closed));
-        assertEquals(0, ways.connections());
+        assertEquals(0, pools.connections());
     }
 }
