Where two events cross: the end, waiting dispatches, hosts started anew, a lost SIGHUP

The end is now derived from the settings (SIGKILL comes no sooner than the longest client timeout, 3 s at most, and 0.7 s), and all that is open is answered before. Front.close closed idle and half-read connections and the listener 750 ms after SIGTERM, with what was on its way on them: they stay until nothing is open. SIGTERM before listening ends the process at once; one that crosses the start is carried out after it. - Client gone. Where the settings allow no withdrawals, a dispatch that waited for a connection was sent after its client had left. - SIGHUP. A later start under the same name and address was sent requests on the connections of the process before; of two pools of one id that left, the first was looked after no more; the first drain's look at send buffers ran into the second; with the last connection broken and no descriptor, who waited was woken by nothing; a tag was used twice on one connection, so that a late second copy of a miss passed for the answer to the next request; a start told twice was a later start where the clock had been set. - Settings. Missing or senseless ones end the start with a line that names them; no customers, and names with commas, are served.

--- a/src/main/java/flintlead/facts/StartupFacts.java
+++ b/src/main/java/flintlead/facts/StartupFacts.java
@@ -112,10 +112,23 @@
 
     /** A list of texts; empty where there is none. */
     public List<String> texts(String key) {
+        if (values.containsKey(key + ".count")) {
+            // One by one: a name may hold a comma.
+            List<String> texts = new ArrayList<>();
+            for (int i = 0; i < (int) number(key + ".count"); i++) {
+                texts.add(text(key + "." + i));
+            }
+            return texts;
+        }
         String joined = values.getOrDefault(key, "");
         return joined.isEmpty() ? List.of() : List.of(joined.split(","));
     }
 
+    /** Empty where there is none. */
+    public String text(String key) {
+        return values.getOrDefault(key, "");
+    }
+
     private boolean flag(String key) {
         return is(key, "true");
     }
--- a/src/main/java/flintlead/platform/Main.java
+++ b/src/main/java/flintlead/platform/Main.java
@@ -22,18 +22,9 @@
      * @param archive only to play the warm-up, from which the build archives classes
      */
     public static int run(boolean archive) {
-        // Before all else: a JVM ends on SIGHUP.
-        Platform[] platform = new Platform[1];
-        boolean[] early = new boolean[1];
-        Signal.handle(new Signal("HUP"), signal -> {
-            synchronized (platform) {
-                if (platform[0] != null) {
-                    platform[0].reload();
-                } else {
-                    early[0] = true;
-                }
-            }
-        });
+        Started started = new Started();
+        // Before all else: a JVM ends on SIGHUP, and on SIGTERM with a code of its own.
+        Signal.handle(new Signal("HUP"), signal -> started.reload());
         Path folder = Path.of(System.getProperty("java.io.tmpdir"));
         if (archive) {
             try {
@@ -44,6 +35,7 @@
                 return 1;
             }
         }
+        Signal.handle(new Signal("TERM"), signal -> started.end());
         String file = System.getenv("ROUTER_CONFIG");
         if (file == null || file.isEmpty()) {
             System.err.println("flintlead: ROUTER_CONFIG is not set");
@@ -52,14 +44,9 @@
         try {
             Platform made = new Platform(Path.of(file), line -> System.err.println("flintlead: " + line));
             warmUp(folder);
+            started.starts();
             System.err.println("flintlead: listens at " + made.start());
-            synchronized (platform) {
-                platform[0] = made;
-                if (early[0]) {
-                    made.reload();
-                }
-            }
-            Signal.handle(new Signal("TERM"), signal -> made.end());
+            started.stands(made);
             made.join();
             return 0;
         } catch (IllegalArgumentException | IOException e) {
@@ -68,6 +55,45 @@
         }
     }
 
+    /** What signals find: a gateway that is not there yet, one that begins to listen, or one that stands. */
+    private static final class Started {
+        private Platform platform;
+        private boolean starting;
+        private boolean reloads;
+        private boolean ends;
+
+        synchronized void reload() {
+            if (platform != null) {
+                platform.reload();
+            }
+            reloads = true;
+        }
+
+        /** Before it listens it has taken nothing and ends at once; from then on it ends when what it took is answered. */
+        synchronized void end() {
+            if (platform != null) {
+                platform.end();
+            } else if (!starting) {
+                Runtime.getRuntime().halt(0);
+            }
+            ends = true;
+        }
+
+        synchronized void starts() {
+            starting = true;
+        }
+
+        synchronized void stands(Platform made) {
+            platform = made;
+            if (reloads) {
+                made.reload();
+            }
+            if (ends) {
+                made.end();
+            }
+        }
+    }
+
     private static void warmUp(Path folder) {
         try {
             WarmUp.play(folder, WARM_UP);
--- a/src/main/java/flintlead/platform/Platform.java
+++ b/src/main/java/flintlead/platform/Platform.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -34,9 +35,16 @@
     private static final double BODIES_PART = 0.125;
     /** A connection has one invocation at a time: none needs a threshold of its own. */
     private static final double SHARE = 1_000;
-    /** After a request to end: as long as connections and requests may still come in. */
+    /** After SIGTERM the protocol lets connections come for 0.4 s and requests on them for 0.2 s more. */
     private static final Span STILL_COMING = Span.ofMillis(750);
-    private static final Span END_MOST = Span.ofMillis(3_500);
+    /** SIGKILL comes no sooner after SIGTERM than the longest client timeout, counted as so much at most, and this much more. */
+    private static final Span TIMEOUT_COUNTED = Span.ofMillis(3_000);
+    private static final Span KILL_AFTER = Span.ofMillis(700);
+    /** Before it, for the last answers to be given and to leave. */
+    private static final Span LAST_ANSWERS = Span.ofMillis(100);
+    private static final Span LOOK_AGAIN = Span.ofMillis(20);
+    /** What a client that leaves its answers unread is waited for. */
+    private static final Span PATIENCE = Span.ofMillis(3_500);
     /** A file that can't be read is tried again: it may be half written. */
     private static final Span READ_AGAIN = Span.ofMillis(100);
     private static final int READ_TRIES = 30;
@@ -46,11 +54,15 @@
     private final Json json = new Json();
     private final Consumer<String> log;
     private final StartFile start;
+    private final Span endWithin;
     private PlatformGateway gateway;
     private JournalTail journal;
     private Front front;
     private Address listening;
+    /** When the file was written that was read last. */
+    private FileTime written;
     private boolean ending;
+    private boolean over;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
 
     /** @throws IllegalArgumentException that names key and fault, or that the file can't be read */
@@ -58,10 +70,16 @@
         this.file = file;
         this.log = log;
         try {
+            this.written = Files.getLastModifiedTime(file);
             this.start = StartFile.read(json, Files.readAllBytes(file));
         } catch (IOException e) {
             throw new IllegalArgumentException(file + " can't be read: " + e.getMessage(), e);
         }
+        Span longest = Span.ZERO;
+        for (int i = 0; i < (int) start.facts().number("services.count"); i++) {
+            longest = Span.longer(longest, start.facts().span("services." + i + ".deadline"));
+        }
+        this.endWithin = Span.shorter(longest, TIMEOUT_COUNTED).plus(KILL_AFTER).minus(LAST_ANSWERS);
         this.loop = new NettyLoop("platform");
     }
 
@@ -100,11 +118,10 @@
         ConnectionPools pools = new ConnectionPools(new LinkTerms(Math.max(8, sockets - clients), Math.max(1, (int) facts.number("limits.max_streams")),
             BODY_MOST, facts.span("limits.dial_timeout"), facts.span("limits.conn_idle"), facts.span("rules.drain_grace")), loop, loop, log);
         long bodies = (long) (Runtime.getRuntime().maxMemory() * BODIES_PART);
-        Intake.Bounds bounds = new Intake.Bounds(clients, bodies, SHARE, 1, bodies, 1, 1, END_MOST);
+        Intake.Bounds bounds = new Intake.Bounds(clients, bodies, SHARE, 1, bodies, 1, 1, PATIENCE);
         gateway = new PlatformGateway(loop, pools, deployment, facts.names("services"), facts.span("limits.dial_timeout"), bounds,
             random.nextLong(), log);
-        long offset = System.currentTimeMillis() * 1000 - loop.now().micros();
-        HostEvents events = new HostEvents(facts.texts("dcs"), facts.texts("kinds"), ms -> new Moment(ms * 1000 - offset), gateway);
+        HostEvents events = new HostEvents(facts.texts("dcs"), facts.texts("kinds"), this::moment, gateway);
         for (int i = 0; i < start.known().size(); i++) {
             try {
                 if (!events.event(start.known().get(i))) {
@@ -114,19 +131,28 @@
                 throw new IllegalArgumentException("known.entries[" + i + "]: " + e.getMessage(), e);
             }
         }
-        journal = new JournalTail(start.journal(), loop, loop, events, json, new Random(random.nextLong()), log);
+        journal = new JournalTail(start.journal(), loop, loop, events, json, new Random(random.nextLong()), this::lookAtFile, log);
         journal.start();
         List<Boolean> tokened = deployment.triggerTypes().stream().map(type -> type.effect() == TriggerType.Effect.TOKENED).toList();
         front = new Front(loop, loop, gateway, new CallReader(facts.names("services"), tokened, facts.names("tenants")), clients);
     }
 
+    /** Of the gateway's clock; the system's is asked each time, as it may have been set since the start. */
+    private Moment moment(long unixMillis) {
+        return loop.now().plus(Span.ofMillis(unixMillis - System.currentTimeMillis()));
+    }
+
     /** The file has been replaced: the journal is where it says now. From any thread. */
     public void reload() {
         loop.execute(() -> readAgain(READ_TRIES));
     }
 
     private void readAgain(int tries) {
+        if (over) {
+            return;
+        }
         try {
+            written = Files.getLastModifiedTime(file);
             StartFile now = StartFile.read(json, Files.readAllBytes(file));
             log.accept("configuration read again; journal at " + now.journal());
             journal.moves(now.journal());
@@ -139,25 +165,54 @@
         }
     }
 
-    /** Ends when what was taken has its answer. From any thread. */
+    /** SIGHUP may have been lost, or ignored by whoever started this process: the JVM leaves an ignored signal so. */
+    private void lookAtFile() {
+        try {
+            if (!Files.getLastModifiedTime(file).equals(written)) {
+                readAgain(READ_TRIES);
+            }
+        } catch (IOException e) {
+            // It is being replaced: the next failure looks again.
+        }
+    }
+
+    /**
+     * Ends when what was taken has its answer, and before the platform may kill it: what is still open then is answered first.
+     * Until the very end nothing is closed that a request may be on its way on. From any thread.
+     */
     public void end() {
         loop.execute(() -> {
-            if (ending) {
-                return;
+            if (!ending) {
+                ending = true;
+                loop.after(Span.shorter(STILL_COMING, endWithin), () -> {
+                    log.accept("ends; open are " + gateway.open());
+                    front.lastAnswers();
+                    overOnceQuiet();
+                });
+                loop.after(endWithin, () -> {
+                    gateway.giveUpAll();
+                    loop.after(LAST_ANSWERS.times(0.5), this::over);
+                });
             }
-            ending = true;
-            loop.after(STILL_COMING, () -> {
-                front.close();
-                gateway.whenEmpty(() -> loop.after(Span.ofMillis(20), this::over));
-            });
-            loop.after(END_MOST.plus(STILL_COMING), this::over);
         });
     }
 
+    private void overOnceQuiet() {
+        if (gateway.open() == 0 && front.isQuiet()) {
+            over();
+        } else if (!over) {
+            loop.after(LOOK_AGAIN, this::overOnceQuiet);
+        }
+    }
+
     private void over() {
-        journal.stop();
-        front.end();
-        ended.complete(null);
+        if (!over) {
+            over = true;
+            journal.stop();
+            front.end();
+            // A turn of the loop later, when the closed sockets are let go: until then the port would still take connections.
+            loop.after(LOOK_AGAIN, () -> ended.complete(null));
+        }
     }
 
     /** Ends at once, as a killed process does. From any thread. */
--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -60,7 +60,6 @@
     private int left;
     /** The latest that a timer came. */
     private Span standstill = Span.ZERO;
-    private Runnable whenEmpty;
 
     /**
      * @param types the trigger types as the wire names them
@@ -151,20 +150,31 @@
     }
 
     private void forget(Flight flight) {
+        if (!ledger.isOpen(flight.number)) {
+            // Answered, or its client gone: what waits for a connection must not leave, also where hosts take no withdrawals.
+            flight.dispatches.stream().filter(sent -> sent.outcome == null && sent.pool != null).forEach(sent -> sent.pool.holdBack(sent.request));
+        }
         if (flight.handle != null && flight.handle.isOver() && !ledger.isOpen(flight.number)
             && flight.dispatches.stream().allMatch(sent -> sent.outcome != null)) {
             flights.remove(flight.number);
-            if (whenEmpty != null && flights.isEmpty()) {
-                whenEmpty.run();
-            }
         }
     }
 
-    /** Runs it as soon as nothing is under way. */
-    void whenEmpty(Runnable then) {
-        whenEmpty = then;
-        if (flights.isEmpty()) {
-            then.run();
+    /** Invocations that have no answer yet. */
+    int open() {
+        return ledger.size();
+    }
+
+    /** Every invocation still open gets its final answer now. */
+    void giveUpAll() {
+        ledger.open().forEach(this::giveUp);
+    }
+
+    private void giveUp(long invocation) {
+        Flight flight = flights.get(invocation);
+        flight.handle.giveUp();
+        if (ledger.isOpen(invocation)) {
+            answer(flight, Client::errored);
         }
     }
 
@@ -173,13 +183,7 @@
         Moment due = now().plus(SWEEP);
         loop.at(due, () -> {
             standstill = Span.longer(standstill, now().since(due));
-            for (long late : ledger.overdue(now())) {
-                Flight flight = flights.get(late);
-                flight.handle.giveUp();
-                if (ledger.isOpen(late)) {
-                    answer(flight, Client::errored);
-                }
-            }
+            ledger.overdue(now()).forEach(this::giveUp);
             sweep();
         });
     }
@@ -203,7 +207,7 @@
         Flight.Sent sent = new Flight.Sent(now());
         flight.dispatches.add(sent);
         sent.pool = pools.to(host);
-        sent.request = new Request(flight.id) {
+        sent.request = new Request(flight.id, number == 0 ? null : flight.dispatches.get(number - 1).request) {
             @Override
             protected void write(ByteBuf out) {
                 StringBuilder line = new StringBuilder(160).append("fire ").append(flight.id).append(" cls=").append(flight.triggerType)
@@ -372,7 +376,7 @@
         private final String rest;
 
         Tagged(String command, String rest) {
-            super("g" + Long.toString(tags++, 36));
+            super("g" + Long.toString(tags++, 36), null);
             this.command = command;
             this.rest = rest;
         }
@@ -453,7 +457,7 @@
             gone(number);
         } else {
             listed.add(number);
-            pools.listed(number, host.name(), host.address(), host.entry().state() == HostEntry.State.DRAINING);
+            pools.listed(number, host.name(), host.address(), host.entry().startedAt(), host.entry().state() == HostEntry.State.DRAINING);
         }
     }
 
--- a/src/main/java/flintlead/platform/StartFile.java
+++ b/src/main/java/flintlead/platform/StartFile.java
@@ -11,6 +11,8 @@
                  StartupFacts facts) {
 
     private static final int SOCKETS_LEAST = 64;
+    /** A century, so that no sum of spans and moments overflows. */
+    private static final double MICROS_MOST = 3.2e15;
     private static final int SOCKETS_MOST = 1 << 20;
 
     /** @throws IllegalArgumentException that names key and fault */
@@ -30,14 +32,49 @@
             throw new IllegalArgumentException("seed must be hex digits");
         }
         StartupFacts facts = StartupFacts.ofNested(map(file, "settings"));
-        if (facts.names("services").isEmpty()) {
-            throw new IllegalArgumentException("settings.services is missing or empty");
-        }
+        check(facts);
         return new StartFile(text(file, "name"), address(file, "listen"), seed,
             whole(limits, "limits.", "memory_mb", 1, 1 << 20), whole(limits, "limits.", "sockets", SOCKETS_LEAST, SOCKETS_MOST),
             address(file, "journal"), events, facts);
     }
 
+    /** What a rule or a bound rests on must be told: guessed, it would hold for the deployment it was guessed for. */
+    private static void check(StartupFacts facts) {
+        int types = facts.names("services").size();
+        if (types == 0) {
+            throw new IllegalArgumentException("settings.services is missing or empty");
+        }
+        for (String key : List.of("tick", "limits.attempts_cap", "limits.max_streams", "limits.dial_timeout", "limits.conn_idle",
+            "rules.drain_grace", "rules.answer_slack")) {
+            above(facts, key);
+        }
+        for (int i = 0; i < types; i++) {
+            String type = "services." + i + ".";
+            if (facts.text(type + "name").isEmpty()) {
+                throw new IllegalArgumentException("settings." + type + "name is missing or empty");
+            }
+            above(facts, type + "aim");
+            above(facts, type + "deadline");
+            String effect = facts.text(type + "effect");
+            if (!List.of("repeatable", "by_key", "once").contains(effect)) {
+                throw new IllegalArgumentException("settings." + type + "effect must be repeatable, by_key or once");
+            }
+            if (effect.equals("by_key")) {
+                above(facts, type + "window");
+                if (!List.of("all", "zone", "cell").contains(facts.text(type + "group"))) {
+                    throw new IllegalArgumentException("settings." + type + "group must be all, zone or cell");
+                }
+            }
+        }
+    }
+
+    private static void above(StartupFacts facts, String key) {
+        double value = facts.number(key);
+        if (!(value > 0 && value < MICROS_MOST)) {
+            throw new IllegalArgumentException("settings." + key + " must be a number above 0");
+        }
+    }
+
     private static Map<?, ?> map(Map<?, ?> file, String key) {
         if (file.get(key) instanceof Map<?, ?> map) {
             return map;
--- a/src/main/java/flintlead/platform/WarmUp.java
+++ b/src/main/java/flintlead/platform/WarmUp.java
@@ -106,9 +106,10 @@
         return "{\"name\":\"warm-up\",\"listen\":\"unix:" + door + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":64,\"sockets\":128},\"journal\":\"unix:"
             + journal + "\",\"known\":{\"pos\":1,\"entries\":[{\"pos\":1,\"hosts\":{\"snapshot\":true,\"endpoints\":[" + hosts + "]}}]},"
             + "\"settings\":{\"group_size\":1,\"tick\":1000,\"limits\":{\"attempts_cap\":3,\"cancel\":true,\"max_streams\":10,\"dial_timeout\":1000000,"
-            + "\"conn_idle\":15000000},\"extra\":{\"idle_life\":4000000},\"feedback\":{\"names\":[\"waiting\"]},\"services\":["
-            + "{\"name\":\"a\",\"aim\":20000,\"worth\":1,\"effect\":\"repeatable\"},"
-            + "{\"name\":\"b\",\"aim\":40000,\"worth\":3,\"effect\":\"by_key\",\"group\":\"cell\",\"window\":2000000}],"
+            + "\"conn_idle\":15000000},\"extra\":{\"idle_life\":4000000},\"feedback\":{\"names\":[\"waiting\"]},"
+            + "\"rules\":{\"answer_slack\":5000,\"drain_grace\":1000000},\"services\":["
+            + "{\"name\":\"a\",\"aim\":20000,\"deadline\":1000000,\"worth\":1,\"effect\":\"repeatable\"},"
+            + "{\"name\":\"b\",\"aim\":40000,\"deadline\":1000000,\"worth\":3,\"effect\":\"by_key\",\"group\":\"cell\",\"window\":2000000}],"
             + "\"tenants\":[{\"name\":\"m\",\"quota_per_s\":1000}]}}";
     }
 
--- a/src/main/java/flintlead/platform/front/CallReader.java
+++ b/src/main/java/flintlead/platform/front/CallReader.java
@@ -83,7 +83,8 @@
         if (type == null) {
             throw new Wrong(400, "X-Class names no trigger type known here");
         }
-        Integer customer = customers.get(one(headers, "X-Merchant", true));
+        // A deployment may have no customers: then it matters to nobody who asks.
+        Integer customer = customers.isEmpty() ? Integer.valueOf(0) : customers.get(one(headers, "X-Merchant", true));
         if (customer == null) {
             throw new Wrong(400, "X-Merchant names no customer known here");
         }
--- a/src/main/java/flintlead/platform/front/ClientConnection.java
+++ b/src/main/java/flintlead/platform/front/ClientConnection.java
@@ -183,10 +183,8 @@
         }
     }
 
-    void closeIfIdle() {
-        if (!open && !midway) {
-            close();
-        }
+    boolean isQuiet() {
+        return !open && !midway && stream.unsent() == 0;
     }
 
     void close() {
--- a/src/main/java/flintlead/platform/front/Front.java
+++ b/src/main/java/flintlead/platform/front/Front.java
@@ -90,19 +90,23 @@
         return closing;
     }
 
-    /** No new connections; those there are end with their answers. */
-    public void close() {
+    /** Each connection ends with its next answer. Idle ones stay, and new ones are taken: a request may be on its way on them. */
+    public void lastAnswers() {
         closing = true;
-        if (listening != null) {
-            listening.close();
-        }
-        new ArrayList<>(connections).forEach(ClientConnection::closeIfIdle);
+    }
+
+    /** Whether no request is coming in or open, and every answer has left. */
+    public boolean isQuiet() {
+        return connections.stream().allMatch(ClientConnection::isQuiet);
     }
 
     /** Everything ends at once. */
     public void end() {
         ended = true;
-        close();
+        closing = true;
+        if (listening != null) {
+            listening.close();
+        }
         new ArrayList<>(connections).forEach(ClientConnection::close);
     }
 
--- a/src/main/java/flintlead/platform/journal/HostEvents.java
+++ b/src/main/java/flintlead/platform/journal/HostEvents.java
@@ -5,6 +5,7 @@
 import flintlead.port.HostEntry;
 import flintlead.time.Moment;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -33,8 +34,12 @@
     private final List<String> kinds;
     private final Function<Long, Moment> unixMillis;
     private final Listener listener;
+    /** When each listed host started, as told and as reckoned then: told again it must be the same moment, no later start. */
+    private final Map<Long, Start> starts = new HashMap<>();
     private long last;
 
+    private record Start(long unixMillis, Moment at) { }
+
     /** @param unixMillis turns a Unix millisecond into a moment of the gateway's clock */
     public HostEvents(List<String> zones, List<String> kinds, Function<Long, Moment> unixMillis, Listener listener) {
         this.zones = zones;
@@ -60,10 +65,12 @@
         if (pos <= last) {
             return true;
         }
-        if (pos > last + 1) {
+        Map<?, ?> hosts = map(members.get("hosts"), "hosts");
+        boolean whole = Boolean.TRUE.equals(hosts.get("snapshot"));
+        // What is known at the start may begin with any number, if it begins whole; later a gap is a loss.
+        if (pos > last + 1 && !(whole && last == 0)) {
             return false;
         }
-        Map<?, ?> hosts = map(members.get("hosts"), "hosts");
         List<Listed> listed = new ArrayList<>();
         if (!(hosts.get("endpoints") instanceof List<?> endpoints)) {
             throw new IllegalArgumentException("hosts.endpoints is no list");
@@ -71,13 +78,14 @@
         for (Object endpoint : endpoints) {
             listed.add(listed(map(endpoint, "an endpoint")));
         }
-        boolean whole = Boolean.TRUE.equals(hosts.get("snapshot"));
         last = pos;
         if (whole) {
+            starts.keySet().retainAll(listed.stream().map(host -> host.entry().host()).toList());
             listener.whole(listed);
         } else {
             listener.changed(listed);
         }
+        listed.stream().filter(host -> host.entry().state() == HostEntry.State.GONE).forEach(host -> starts.remove(host.entry().host()));
         return true;
     }
 
@@ -93,11 +101,16 @@
         if (since < 0 || since > UNIX_MS_MOST) {
             throw new IllegalArgumentException("endpoint " + name + ": since_ms is out of range");
         }
-        Moment started = since == 0 ? new Moment(0) : Moment.later(new Moment(1), unixMillis.apply(since));
+        long host = Ids.host(name);
+        Start start = starts.get(host);
+        if (start == null || start.unixMillis != since) {
+            start = new Start(since, since == 0 ? new Moment(0) : Moment.later(new Moment(1), unixMillis.apply(since)));
+            starts.put(host, start);
+        }
         double weight = endpoint.get("weight") instanceof Number n ? n.doubleValue() : 1;
-        HostEntry entry = new HostEntry(Ids.host(name), index(zones, endpoint.get("zone")),
+        HostEntry entry = new HostEntry(host, index(zones, endpoint.get("zone")),
             (int) (endpoint.get("group") instanceof Number n ? n.longValue() : 0), index(kinds, endpoint.get("type")),
-            state, started, weight);
+            state, start.at, weight);
         return new Listed(name, Address.parseTcp(text(endpoint, "address")), entry);
     }
 
--- a/src/main/java/flintlead/platform/journal/JournalTail.java
+++ b/src/main/java/flintlead/platform/journal/JournalTail.java
@@ -33,13 +33,15 @@
     private final HostEvents events;
     private final Json json;
     private final Random random;
+    private final Runnable failed;
     private final Consumer<String> log;
     private Address address;
     private Watch current;
     private int failures;
     private boolean stopped;
 
-    public JournalTail(Address address, Loop loop, Transport transport, HostEvents events, Json json, Random random,
+    /** @param failed told each time that the service did not answer or broke off, before it is asked again */
+    public JournalTail(Address address, Loop loop, Transport transport, HostEvents events, Json json, Random random, Runnable failed,
                        Consumer<String> log) {
         this.address = address;
         this.loop = loop;
@@ -47,6 +49,7 @@
         this.events = events;
         this.json = json;
         this.random = random;
+        this.failed = failed;
         this.log = log;
     }
 
@@ -56,7 +59,7 @@
 
     /** From now on the service is there; the numbers go on. */
     public void moves(Address to) {
-        if (!to.equals(address)) {
+        if (!stopped && !to.equals(address)) {
             address = to;
             failures = 0;
             if (current != null) {
@@ -151,6 +154,7 @@
             Span bound = Span.shorter(AGAIN_LONGEST, AGAIN_FIRST.times(1L << Math.min(failures++, 8)));
             if (!stopped) {
                 log.accept("journal at " + address + ": " + why);
+                failed.run();
                 loop.after(bound.times(0.5 + random.nextDouble() / 2), () -> {
                     if (current == this && !stopped) {
                         ask();
--- a/src/main/java/flintlead/platform/link/ConnectionPool.java
+++ b/src/main/java/flintlead/platform/link/ConnectionPool.java
@@ -29,18 +29,22 @@
     private final ConnectionPools all;
     private final String name;
     private final Address address;
+    private final Moment startedAt;
     private final List<HostConnection> connections = new ArrayList<>();
     private final Deque<Request> waiting = new ArrayDeque<>();
     /** Requests whose connection broke, while it is asked whether the host lives. */
     private final List<Request> unsettled = new ArrayList<>();
     private int opening;
     private boolean draining;
+    /** Which drain it is: a host may drain, return and drain again. */
+    private int drain;
     private boolean left;
 
-    ConnectionPool(ConnectionPools all, String name, Address address) {
+    ConnectionPool(ConnectionPools all, String name, Address address, Moment startedAt) {
         this.all = all;
         this.name = name;
         this.address = address;
+        this.startedAt = startedAt;
     }
 
     String name() {
@@ -51,6 +55,10 @@
         return address;
     }
 
+    Moment startedAt() {
+        return startedAt;
+    }
+
     LinkTerms terms() {
         return all.terms;
     }
@@ -256,6 +264,7 @@
     void drains() {
         if (!draining) {
             draining = true;
+            int which = ++drain;
             List<Request> unsent = List.copyOf(waiting);
             waiting.clear();
             unsent.forEach(request -> later(request, Outcome.CONNECT_FAILED));
@@ -263,7 +272,7 @@
             // What still lies in a send buffer would arrive after the grace.
             all.loop.after(terms().drainGrace().times(0.5), () -> {
                 for (HostConnection connection : List.copyOf(connections)) {
-                    if (connection.hasUnsent()) {
+                    if (draining && which == drain && connection.hasUnsent()) {
                         connection.closed("unsent at a draining host");
                     }
                 }
@@ -285,8 +294,10 @@
         return connections.isEmpty() && waiting.isEmpty() && unsettled.isEmpty();
     }
 
-    /** Closes idle connections before the host does, and those cut off in the middle of an answer. */
+    /** Closes idle connections before the host does, and those cut off in the middle of an answer; wakes who waits. */
     void check(Moment now) {
+        // Room that other hosts' connections leave, or a question that came to nothing, is told by no event of this host's.
+        sendWaiting();
         for (HostConnection connection : List.copyOf(connections)) {
             connection.check(now);
             if (connection.isIdle() && now.since(connection.usedAt()).isLongerThan(terms().idle().times(IDLE_SHARE))) {
--- a/src/main/java/flintlead/platform/link/ConnectionPools.java
+++ b/src/main/java/flintlead/platform/link/ConnectionPools.java
@@ -6,6 +6,8 @@
 import flintlead.loop.Transport;
 import flintlead.time.Moment;
 import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -24,8 +26,8 @@
     final Consumer<String> log;
     private final DialBudget budget;
     private final Map<Long, ConnectionPool> pools = new TreeMap<>();
-    /** Of hosts that have left, until the last of their connections has ended. */
-    private final Map<Long, ConnectionPool> leaving = new TreeMap<>();
+    /** Of hosts that have left, until the last of their connections has ended; more than one where a host leaves again. */
+    private final List<ConnectionPool> leaving = new ArrayList<>();
     private int connections;
 
     public ConnectionPools(LinkTerms terms, Loop loop, Transport transport, Consumer<String> log) {
@@ -41,8 +43,8 @@
         loop.after(LOOK_ROUND, () -> {
             Moment now = loop.now();
             pools.values().forEach(pool -> pool.check(now));
-            leaving.values().forEach(pool -> pool.check(now));
-            leaving.values().removeIf(ConnectionPool::isEmpty);
+            leaving.forEach(pool -> pool.check(now));
+            leaving.removeIf(ConnectionPool::isEmpty);
             lookRound();
         });
     }
@@ -52,15 +54,15 @@
         return pools.get(host);
     }
 
-    /** The list has the host. */
-    public void listed(long host, String name, Address address, boolean draining) {
+    /** The list has the host. At another address, or started since, it is another process: what is open belongs to the old one. */
+    public void listed(long host, String name, Address address, Moment startedAt, boolean draining) {
         ConnectionPool pool = pools.get(host);
-        if (pool != null && !pool.address().equals(address)) {
+        if (pool != null && (!pool.address().equals(address) || startedAt.isAfter(pool.startedAt()))) {
             left(host);
             pool = null;
         }
         if (pool == null) {
-            pool = new ConnectionPool(this, name, address);
+            pool = new ConnectionPool(this, name, address, startedAt);
             pools.put(host, pool);
         }
         if (draining) {
@@ -75,7 +77,7 @@
         ConnectionPool pool = pools.remove(host);
         if (pool != null) {
             pool.leaves();
-            leaving.put(host, pool);
+            leaving.add(pool);
         }
     }
 
--- a/src/main/java/flintlead/platform/link/HostConnection.java
+++ b/src/main/java/flintlead/platform/link/HostConnection.java
@@ -65,7 +65,7 @@
     }
 
     boolean takes(Request request) {
-        return takes() && !out.containsKey(request.tag);
+        return takes() && !out.containsKey(request.tag) && !request.wentBy(this);
     }
 
     int load() {
--- a/src/main/java/flintlead/platform/link/Request.java
+++ b/src/main/java/flintlead/platform/link/Request.java
@@ -8,6 +8,8 @@
 public abstract class Request {
 
     final String tag;
+    /** An earlier request under the same tag; null where there is none. */
+    private final Request earlier;
     HostConnection connection;
     /** Bytes of it may have left; until then it is proven that it did not run. */
     boolean sent;
@@ -15,9 +17,23 @@
     int dials;
     Moment sentAt;
 
-    /** @param tag what the answer comes under */
-    protected Request(String tag) {
+    /**
+     * @param tag what the answer comes under
+     * @param earlier the last request under the same tag; null for the first
+     */
+    protected Request(String tag, Request earlier) {
         this.tag = tag;
+        this.earlier = earlier;
+    }
+
+    /** Whether the tag was used there: a second copy of an answer to the earlier request would pass for one to this. */
+    final boolean wentBy(HostConnection other) {
+        for (Request before = earlier; before != null; before = before.earlier) {
+            if (before.connection == other) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Writes the whole command. */
--- a/src/test/java/flintlead/platform/Stage.java
+++ b/src/test/java/flintlead/platform/Stage.java
@@ -29,6 +29,8 @@
     public static final class Host implements AutoCloseable {
         public final String name;
         public final List<String> commands = new CopyOnWriteArrayList<>();
+        /** Of the invocations it was sent. */
+        public final List<String> bodies = new CopyOnWriteArrayList<>();
         public volatile Script script = (host, from, words, body) -> host.answer(from, words[1] + " 200 - ", body);
         private final ServerSocket server;
         private final List<Socket> open = new CopyOnWriteArrayList<>();
@@ -36,6 +38,27 @@
         Host(String name, int port) throws IOException {
             this.name = name;
             this.server = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
+            accept();
+        }
+
+        /** One that holds the accept: its accept queue is full, so that connections to it do not open. */
+        private Host(String name) throws IOException {
+            this.name = name;
+            this.server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            for (boolean full = false; !full;) {
+                Socket filler = new Socket();
+                try {
+                    filler.connect(server.getLocalSocketAddress(), 300);
+                    open.add(filler);
+                } catch (java.net.SocketTimeoutException e) {
+                    filler.close();
+                    full = true;
+                }
+            }
+        }
+
+        /** From now on it takes connections, those that have waited too. */
+        public void accept() {
             run(() -> {
                 while (true) {
                     Socket socket = server.accept();
@@ -62,6 +85,7 @@
                 }
                 commands.add(line);
                 if (words[0].equals("fire")) {
+                    bodies.add(new String(body, StandardCharsets.ISO_8859_1));
                     script.command(this, socket, words, body);
                 }
             }
@@ -87,8 +111,12 @@
         }
 
         String endpoint(String status) {
+            return endpoint(status, 0);
+        }
+
+        String endpoint(String status, long sinceMillis) {
             return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1:" + server.getLocalPort()
-                + "\",\"zone\":\"z\",\"type\":\"k\",\"group\":0,\"status\":\"" + status + "\",\"weight\":1,\"since_ms\":0}";
+                + "\",\"zone\":\"z\",\"type\":\"k\",\"group\":0,\"status\":\"" + status + "\",\"weight\":1,\"since_ms\":" + sinceMillis + "}";
         }
 
         public int port() {
@@ -108,6 +136,23 @@
         }
     }
 
+    /** Something that a script has put off until the test says so. */
+    public static final class Held {
+        private volatile Work work;
+
+        void until(Work held) {
+            work = held;
+        }
+
+        boolean isThere() {
+            return work != null;
+        }
+
+        void goes() throws IOException {
+            work.run();
+        }
+    }
+
     /** The journal service: tells whoever asks what comes after the number asked for. */
     public static final class Journal implements AutoCloseable {
         public final List<String> asked = new CopyOnWriteArrayList<>();
@@ -201,6 +246,21 @@
             return this;
         }
 
+        /** Whether anything comes back in that time, or the connection ends. */
+        public boolean answeredWithin(int millis) throws IOException {
+            socket.setSoTimeout(millis);
+            try {
+                in.mark(1);
+                in.read();
+                in.reset();
+                return true;
+            } catch (java.net.SocketTimeoutException e) {
+                return false;
+            } finally {
+                socket.setSoTimeout(8_000);
+            }
+        }
+
         /** The next response: its status, and its headers and body; status 0 where the connection ended instead. */
         public Response response() throws IOException {
             try {
@@ -263,6 +323,7 @@
     public int port;
     private final List<AutoCloseable> others = new ArrayList<>();
     private final int sockets;
+    private final Map<String, String> changes = new LinkedHashMap<>();
 
     public Stage(int hosts, int sockets) throws IOException {
         this.sockets = sockets;
@@ -276,23 +337,35 @@
     }
 
     public Stage start() throws IOException {
+        platform = null;
         platform = new Platform(file, log::add);
         port = ((flintlead.loop.Address.Tcp) platform.start()).port();
         return this;
     }
 
+    /** The file with another setting; before it starts. */
+    public Stage with(String setting, String otherwise) throws IOException {
+        changes.put(setting, otherwise);
+        configure(journal);
+        return this;
+    }
+
     /** Writes the file, with the journal service there. */
     public void configure(Journal at) throws IOException {
-        Files.writeString(file, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":{\"cores\":1.0,\"memory_mb\":128,"
+        String text = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"seed\":\"1f\",\"limits\":{\"cores\":1.0,\"memory_mb\":128,"
             + "\"sockets\":" + sockets + "},\"journal\":\"" + at.address() + "\",\"known\":{\"pos\":1,\"entries\":[" + journal.events().get(0)
             + "]},\"settings\":{\"dcs\":[\"z\"],\"kinds\":[\"k\"],\"index\":0,\"group_size\":1,\"tick\":1000,\"extra\":{\"when_absent\":\"load\","
             + "\"idle_life\":4000000,\"load_wait\":4000000,\"loads_within\":5000000,\"free_loads\":2,\"load_share\":0.3},"
             + "\"feedback\":{\"names\":[\"waiting\"]},\"limits\":{\"attempts_cap\":3,\"cancel\":true,\"conn_idle\":15000000,"
             + "\"dial_timeout\":250000,\"max_streams\":100,\"retry_after\":true,\"max_retry_after\":500000},"
             + "\"rules\":{\"answer_slack\":5000,\"drain_grace\":1000000,\"warm_after\":5000000,\"cold_from\":0.3,\"fall_multiple\":2.5,"
-            + "\"overload_for\":3000000},\"services\":[{\"name\":\"check\",\"aim\":340000,\"worth\":3,\"effect\":\"repeatable\"},"
-            + "{\"name\":\"lodge\",\"aim\":550000,\"worth\":9,\"effect\":\"by_key\",\"group\":\"cell\",\"window\":2000000}],"
-            + "\"tenants\":[{\"name\":\"mill\",\"quota_per_s\":1000}]}}");
+            + "\"overload_for\":3000000},\"services\":[{\"name\":\"check\",\"aim\":340000,\"deadline\":1360000,\"worth\":3,\"effect\":\"repeatable\"},"
+            + "{\"name\":\"lodge\",\"aim\":550000,\"deadline\":1360000,\"worth\":9,\"effect\":\"by_key\",\"group\":\"cell\",\"window\":2000000}],"
+            + "\"tenants\":[{\"name\":\"mill\",\"quota_per_s\":1000}]}}";
+        for (Map.Entry<String, String> change : changes.entrySet()) {
+            text = text.replace(change.getKey(), change.getValue());
+        }
+        Files.writeString(file, text);
     }
 
     public Journal anotherJournal() throws IOException {
@@ -307,6 +380,13 @@
         return host;
     }
 
+    /** A host whose connections do not open until it is told to accept. */
+    public Host heldHost(String name) throws IOException {
+        Host host = new Host(name);
+        hosts.add(host);
+        return host;
+    }
+
     public Client client() throws IOException {
         return new Client(port);
     }
--- a/src/test/java/flintlead/platform/link/ConnectionPoolTest.java
+++ b/src/test/java/flintlead/platform/link/ConnectionPoolTest.java
@@ -130,12 +130,16 @@
     }
 
     private ConnectionPool pool() {
-        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), false);
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(0), false);
         return pools.to(1);
     }
 
     private Request ask(ConnectionPool pool, String id) {
-        Request request = new Request(id) {
+        return ask(pool, id, null);
+    }
+
+    private Request ask(ConnectionPool pool, String id, Request earlier) {
+        Request request = new Request(id, earlier) {
             @Override
             protected void write(ByteBuf out) {
                 out.writeCharSequence("fire " + id + " - 0\r\n\r\n", StandardCharsets.US_ASCII);
@@ -212,7 +216,7 @@
         ConnectionPool pool = pool();
         ask(pool, "a");
         wires.get(0).open().says("a 200 - 0\r\n\r\n");
-        pools.listed(2, "i", Address.parse("tcp:127.0.0.1:2"), false);
+        pools.listed(2, "i", Address.parse("tcp:127.0.0.1:2"), new Moment(0), false);
         ask(pools.to(2), "b");
         wires.get(1).ends("no connection: Too many open files");
         assertTrue(wires.get(0).closed);
@@ -252,7 +256,7 @@
         ask(pool, "a");
         wires.get(0).open().unsent = 10;
         ask(pool, "b");
-        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), true);
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(0), true);
         run(Span.ZERO);
         assertEquals(List.of("b CONNECT_FAILED"), ends);
         wires.get(1).open();
@@ -302,4 +306,80 @@
         assertTrue(wires.stream().allMatch(wire -> wire.closed));
         assertEquals(0, pools.connections());
     }
+
+    /** The first of two pools under one id was looked after no more: what its host cut off stayed out until its time was up. */
+    @Test
+    void aHostThatLeavesTwiceHasBothItsFormerConnectionsLookedAfter() {
+        ask(pool(), "a");
+        wires.get(0).open();
+        pools.left(1);
+        ask(pool(), "b");
+        wires.get(1).open();
+        pools.left(1);
+        wires.get(0).says("a 200 - 5\r\nab");
+        run(Span.ofMillis(400));
+        assertEquals(List.of("a STRAYED"), ends);
+    }
+
+    /** The look at send buffers that the first drain had set ran into the second, before its time. */
+    @Test
+    void aDrainThatWasTakenBackEndsNothingAndTheNextHasItsOwnTime() {
+        ask(pool(), "a");
+        wires.get(0).open().unsent = 10;
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(0), true);
+        run(Span.ofMillis(300));
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(0), false);
+        run(Span.ofMillis(100));
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(0), true);
+        run(Span.ofMillis(110));
+        assertEquals(List.of(), ends);
+        run(Span.ofMillis(400));
+        assertEquals(List.of("a RESET"), ends);
+    }
+
+    /** With the last connection broken and no descriptor for another, who waited was woken by nothing. */
+    @Test
+    void whoWaitsIsWokenWhenDescriptorsComeFree() {
+        ConnectionPool pool = pool();
+        ask(pool, "a");
+        wires.get(0).open();
+        pools.listed(2, "i", Address.parse("tcp:127.0.0.1:2"), new Moment(0), false);
+        ask(pools.to(2), "x");
+        wires.get(1).ends("no connection: Too many open files");
+        wires.get(0).listener.closed("Connection reset");
+        ask(pool, "b");
+        run(Span.ofMillis(50));
+        assertEquals(List.of("x CONNECT_FAILED", "a RESET", "b CONNECT_FAILED"), ends, "told, and free to go elsewhere");
+    }
+
+    /** A second copy of a miss, some milliseconds late, passed for the answer to the next request under the same tag. */
+    @Test
+    void aTagIsNotUsedTwiceOnOneConnection() {
+        ConnectionPool pool = pool();
+        Request first = ask(pool, "a");
+        wires.get(0).open().says("a 404 - 0\r\n\r\n");
+        ask(pool, "a", first);
+        assertEquals(2, wires.size());
+        wires.get(0).says("a 404 - 0\r\n\r\n");
+        wires.get(1).open().says("a 200 - 0\r\n\r\n");
+        assertEquals(List.of("a MISS", "a OK"), ends);
+        ask(pool, "b");
+        assertEquals(2, wires.size(), "others go on using it");
+    }
+
+    /** A new start under the same name: nothing new goes to the process before it, what is out there may still end. */
+    @Test
+    void aHostStartedAnewIsAnotherProcess() {
+        ask(pool(), "a");
+        wires.get(0).open();
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(5), false);
+        ask(pools.to(1), "b");
+        assertEquals(2, wires.size());
+        wires.get(0).says("a 200 - 0\r\n\r\n");
+        wires.get(1).open().says("b 200 - 0\r\n\r\n");
+        assertEquals(List.of("a OK", "b OK"), ends);
+        pools.listed(1, "h", Address.parse("tcp:127.0.0.1:1"), new Moment(5), false);
+        ask(pools.to(1), "c");
+        assertEquals(2, wires.size());
+    }
 }
