--- a/src/test/java/flintlead/platform/Stage.java
+++ b/src/test/java/flintlead/platform/Stage.java
@@ -161,7 +161,11 @@
         private final ServerSocket server;
 
         Journal(List<String> events) throws IOException {
-            this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            this(events, 0);
+        }
+
+        Journal(List<String> events, int port) throws IOException {
+            this.server = new ServerSocket(port, 50, InetAddress.getByName("127.0.0.1"));
             this.events.addAll(events);
             run(() -> {
                 while (true) {
@@ -374,6 +378,13 @@
         return other;
     }
 
+    /** The journal service once more, where it was. */
+    public Journal journalAgain() throws IOException {
+        Journal again = new Journal(journal.events(), journal.server.getLocalPort());
+        others.add(again);
+        return again;
+    }
+
     public Host anotherHost(String name, int port) throws IOException {
         Host host = new Host(name, port);
         hosts.add(host);
