--- a/src/test/java/flintlead/Fleet.java
+++ b/src/test/java/flintlead/Fleet.java
@@ -84,10 +84,15 @@
         new PriorityQueue<>(Comparator.comparing(Timer::when).thenComparing(Timer::order));
     private int timerCount;
     private long nextInv;
-    private Moment now = new Moment(1_000_000_000);
+    private Moment now;
 
     Fleet(Deployment facts, int hosts) {
+        this(facts, hosts, new Moment(1_000_000_000));
+    }
+
+    Fleet(Deployment facts, int hosts, Moment now) {
         this.facts = facts;
+        this.now = now;
         this.control = new Control(this, facts, 7);
         for (int i = 0; i < hosts; i++) {
             listed.put(100L + i, entry(100 + i, HostEntry.State.READY, 0));
@@ -177,7 +182,7 @@
 
     /** Forgets what it has heard and sent, so that only the decisions' own memory is left to grow. */
     void forgetPast(long... hosts) {
-        invs.values().removeIf(taken -> taken.answer != null && taken.outs.stream().allMatch(o -> o.outcome != null));
+        forgetAnswered();
         takenAt.clear();
         okAt.subList(0, Math.max(0, okAt.size() - 100)).clear();
         sentTo.values().forEach(sent -> sent.subList(0, Math.max(0, sent.size() - 10)).clear());
@@ -188,6 +193,10 @@
         }
     }
 
+    void forgetAnswered() {
+        invs.values().removeIf(taken -> taken.answer != null && taken.outs.stream().allMatch(o -> o.outcome != null));
+    }
+
     /** Lets time pass, fires timers, ends dispatches at their client timeout. */
     void pass(double millis) {
         Moment until = now.plus(Span.ofMillis(millis));
