A warm-up that finds nobody to ask ends its gateway; rooms and the first guess go by the objective

Ruled out: garbage collection and safepoints (one pause of 12 ms, in a gateway that stood still for 254 ms), bad clients' bytes (402 bad requests at once cost 143 ms). It is ended now in every case. Control: SHRINK_EVERY and SERVED_GUESS are shares of the objective, no fixed spans.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -36,7 +36,8 @@
     private static final int MANY_GATEWAYS = 8;
     private static final double PACE_FOLLOW = 0.1;
     private static final double ROOM_SHRINK = 0.9;
-    private static final Span SHRINK_EVERY = Span.ofMillis(200);
+    /** Not more often than this share of the objective: answers to what went before must come in. */
+    private static final double SHRINK_EVERY = 0.25;
     /** A function's hosts: the crowd at each that is aimed at, and the largest steps of their number. */
     private static final double CROWD_AIM = 3;
     private static final double SPREAD_UP = 2;
@@ -46,7 +47,7 @@
     private static final Span TELL_EVERY = Span.ofMillis(300);
     private static final int TELL_PEERS = 3;
     /**
-     * Out for this multiple of its latency objective (a load: JOIN_UNTIL of its time) and the host unheard since:
+     * Out for this multiple of its objective (a load: JOIN_UNTIL of its time) and the host unheard since:
      * the host is silent. Not a fixed span: where an invocation works for a second, all hosts would be.
      */
     private static final double SILENT_AFTER = 1;
@@ -66,7 +67,8 @@
     /** Own loads under way: where the number starts, and its least. */
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
-    private static final Span SERVED_GUESS = Span.ofMillis(200);
+    /** Until answers tell what a warm one takes: this share of the shortest objective. */
+    private static final double SERVED_GUESS = 0.25;
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
@@ -110,7 +112,7 @@
     private final TokenBucket[] customers;
     /** What is known of each function, and what a warm answer takes on average. */
     private final Map<Long, Fn> functions = new LinkedHashMap<>(64, 0.75f, true);
-    private Span served = SERVED_GUESS;
+    private Span served;
     /** Invocations whose order after a miss is under way. */
     private final List<Invocation> ordering = new ArrayList<>();
     /** Own loads under way, and how many there may be. */
@@ -136,6 +138,8 @@
         this.paceAim = gateways < MANY_GATEWAYS ? PACE_AIM : PACE_AIM_OF_MANY;
         this.margin = facts.tick().times(MARGIN_TICKS);
         double most = facts.triggerTypes().stream().mapToDouble(TriggerType::billedValue).max().orElse(0);
+        this.served = facts.triggerTypes().stream().map(TriggerType::latencyObjective)
+            .reduce(Span::shorter).orElse(Span.ZERO).times(SERVED_GUESS);
         rows = new Row[facts.triggerTypes().size()];
         int cap = Math.max(1, facts.dispatchCap());
         for (int i = 0; i < rows.length; i++) {
@@ -588,7 +592,7 @@
         }
         host.pace += PACE_FOLLOW * (Math.min(1, elapsed.over(inv.row.latencyObjective())) - host.pace);
         if (host.pace > paceAim) {
-            if (now.since(host.shrunkAt).isLongerThan(SHRINK_EVERY)) {
+            if (now.since(host.shrunkAt).isLongerThan(inv.row.latencyObjective().times(SHRINK_EVERY))) {
                 host.room = Math.max(roomLeast, Math.min(host.room, host.inFlight + 1) * ROOM_SHRINK);
                 host.shrunkAt = now;
             }
@@ -667,7 +671,7 @@
     private void adjustLoadRoom(Invocation inv, Outcome outcome, Span elapsed, int note, Moment now) {
         boolean slow = outcome == Outcome.OK && elapsed.isLongerThan(inv.row.latencyObjective());
         if (slow || outcome == Outcome.FULL || note == LOAD_FAILED) {
-            if (now.since(loadsShrunkAt).isLongerThan(SHRINK_EVERY)) {
+            if (now.since(loadsShrunkAt).isLongerThan(inv.row.latencyObjective().times(SHRINK_EVERY))) {
                 loadRoom = Math.max(LOADS_LEAST, loadRoom * ROOM_SHRINK);
                 loadsShrunkAt = now;
             }
--- a/src/main/java/flintlead/platform/WarmUp.java
+++ b/src/main/java/flintlead/platform/WarmUp.java
@@ -41,6 +41,15 @@
      * @throws IOException when it can't be played; the gateway does without then
      */
     static void play(Path folder, Span most) throws IOException {
+        play(folder, most, WarmUp::ask);
+    }
+
+    /** Whoever asks the gateway that is warmed up. */
+    interface Asker {
+        void ask(Path door, Moment end) throws IOException;
+    }
+
+    static void play(Path folder, Span most, Asker asker) throws IOException {
         Path own = Files.createTempDirectory(folder, "r");
         NettyLoop stage = new NettyLoop("warm-up");
         List<Path> made = new ArrayList<>();
@@ -58,10 +67,14 @@
             made.addAll(List.of(journal, file, door));
             Files.writeString(file, configuration(door, journal, hosts.toString()));
             Platform platform = new Platform(file, line -> { });
-            platform.start();
-            ask(door, NettyLoop.clock().plus(most));
-            platform.reload();
-            platform.kill();
+            try {
+                platform.start();
+                asker.ask(door, NettyLoop.clock().plus(most));
+                platform.reload();
+            } finally {
+                // Also where nobody can be asked: its loop would go on beside the gateway's own for good.
+                platform.kill();
+            }
         } finally {
             stage.close();
             for (Path path : made) {
--- a/src/test/java/flintlead/platform/ProcessTest.java
+++ b/src/test/java/flintlead/platform/ProcessTest.java
@@ -2,11 +2,13 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import flintlead.platform.Stage.Client;
 import flintlead.platform.Stage.Host;
 import flintlead.platform.Stage.Journal;
+import flintlead.time.Span;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -136,4 +138,14 @@
         await().until(() -> !log.isEmpty());
         assertEquals(List.of("flintlead: settings.tick must be a number above 0"), log);
     }
+
+    /** Where nobody could be asked, the gateway of the warm-up went on beside the real one, with its timers and its journal. */
+    @Test
+    void nothingOfAWarmUpThatFailsGoesOn() {
+        assertThrows(IOException.class, () -> WarmUp.play(folder, Span.ofMillis(100), (door, end) -> {
+            throw new IOException("refused");
+        }));
+        await().until(() -> Thread.getAllStackTraces().keySet().stream()
+            .noneMatch(thread -> thread.getName().startsWith("platform-") || thread.getName().startsWith("warm-up-")));
+    }
 }
