A first guess of a fifth of the shortest objective lets a held one join a load

At fault: SERVED_GUESS of 0.25 of the objective: with 100 ms of a load left, the guess filled the 0.35 of the objective that an invocation may be held for, so that it began a load of its own instead of joining. A fifth, which is what the fixed 200 ms was of an objective of a second, leaves room.

--- a/src/main/java/flintlead/Control.java
+++ b/src/main/java/flintlead/Control.java
@@ -68,7 +68,7 @@
     private static final double LOADS_START = 16;
     private static final double LOADS_LEAST = 4;
     /** Until answers tell what a warm one takes: this share of the shortest objective. */
-    private static final double SERVED_GUESS = 0.25;
+    private static final double SERVED_GUESS = 0.2;
     private static final double FOLLOW = 0.02;
     /** Held invocations are looked at again this often while there are any. */
     private static final Span PULSE = Span.ofMillis(20);
