A test's host that listens anew waits until its port is let go

Seen: of two runs of all tests on a clean clone the second failed in LibraryTest.aRestartedHostIsANewStart: 'cannot listen at tcp:127.0.0.2:35997: Address already in use'; in the first it passed. At fault is the fixture's race, not what is tested: NIO lets a closed listening socket go at the selector's next turn, after the close has been told (the same that Platform.over waits a turn for). The test now listens again until the port is free, on the very address as before; what it asks of the gateway is unchanged.

--- a/src/test/java/flintlead/gateway/GatewayContract.java
+++ b/src/test/java/flintlead/gateway/GatewayContract.java
@@ -18,6 +18,7 @@
 import flintlead.port.TriggerType.Group;
 import flintlead.time.Span;
 import java.nio.charset.StandardCharsets;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -383,7 +384,11 @@
         a.down();
         a.start = "2";
         a.ageMs = 100;
-        a.listen();
+        // A closed port is let go at the loop's next turn only, some moments after the close is told.
+        Awaitility.await().ignoreException(IOException.class).until(() -> {
+            a.listen();
+            return true;
+        });
         Awaitility.await().until(() -> of(invoke(Ask.of("f", "check"))).kind() == Reply.Kind.SUCCEEDED);
         // Cold now, it gets little: a burst that a warm host would take whole is held, and part of it throttled.
         int throttled = 0;
