--- a/src/test/java/flintlead/platform/FakeHost.java
+++ b/src/test/java/flintlead/platform/FakeHost.java
@@ -18,6 +18,19 @@
   private static final int BACKLOG = 50;
   private static final int FULL_BACKLOG_MILLIS = 300;
 
+  /** One command line; the time is of {@link System#nanoTime}. */
+  record TimedCommand(String line, long nanos) {
+
+    /** Whether it brings new work: an invocation, or an order to load instances. */
+    boolean isNewWork() {
+      return line.startsWith("fire ") || line.startsWith("provision ") && !line.endsWith("units=0");
+    }
+
+    boolean isProbe() {
+      return line.startsWith("there ") || line.startsWith("busy ");
+    }
+  }
+
   /** What a host does with one invocation. */
   interface Script {
     void run(FakeHost host, Socket from, String[] words, byte[] body) throws IOException;
@@ -28,12 +41,18 @@
   /** The command lines received, and "closed" for each connection that ended. */
   final List<String> commands = new CopyOnWriteArrayList<>();
 
+  /** Each command line with when it was received, for tests of when something was sent. */
+  final List<TimedCommand> timedCommands = new CopyOnWriteArrayList<>();
+
   /** Bodies of the invocations received. */
   final List<String> bodies = new CopyOnWriteArrayList<>();
 
   volatile Script script =
       (host, from, words, body) -> host.answer(from, words[1] + " 200 - ", body);
 
+  /** Whether it refuses new work and says that it is dead, as a host does that drains. */
+  volatile boolean draining;
+
   private final ServerSocket server;
   private final List<Socket> open = new CopyOnWriteArrayList<>();
 
@@ -99,8 +118,14 @@
         body = in.readNBytes(Integer.parseInt(words[3]));
         in.readNBytes(2);
       }
+      TimedCommand command = new TimedCommand(line, System.nanoTime());
+      timedCommands.add(command);
       commands.add(line);
-      if (invocation) {
+      if (command.isProbe()) {
+        answer(socket, words[1] + (draining ? " dead - " : " alive - "), new byte[0]);
+      } else if (command.isNewWork() && draining) {
+        answer(socket, words[1] + " 503 - ", new byte[0]);
+      } else if (invocation) {
         bodies.add(new String(body, StandardCharsets.ISO_8859_1));
         script.run(this, socket, words, body);
       }
--- a/src/test/java/flintlead/platform/FakeJournal.java
+++ b/src/test/java/flintlead/platform/FakeJournal.java
@@ -1,6 +1,7 @@
 package flintlead.platform;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -8,31 +9,77 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
-/** A journal service: sends whoever asks what comes after the position asked for. */
+/**
+ * A journal service: sends whoever asks what comes after the position asked for, and each second
+ * the last position. It can be out of reach in several ways.
+ */
 final class FakeJournal implements AutoCloseable {
 
   private static final int BACKLOG = 50;
+  private static final long HEARTBEAT_MILLIS = 1_000;
+  private static final long TICK_MILLIS = 10;
+
+  /** How late lines are while the journal is slow. */
+  private static final long SLOW_MILLIS = 8_000;
+
+  /** In what way the journal is out of reach. */
+  enum Outage {
+    /** It answers. */
+    NONE,
+    /** Connections end, and new ones are refused. */
+    REFUSED,
+    /** Connections are reset, new ones too. */
+    RESET,
+    /** Connections stay open and carry nothing. */
+    SILENT,
+    /** The last position goes on, the events before it do not come. */
+    BEHIND,
+    /** A line breaks off in the middle, and nothing follows. */
+    HALF_LINE,
+    /** Every line comes late. */
+    SLOW
+  }
+
+  private record Line(String text, long dueNanos) {}
 
   /** The commands received. */
   final List<String> asked = new CopyOnWriteArrayList<>();
 
   private final List<String> events = new ArrayList<>();
-  private final List<Socket> open = new CopyOnWriteArrayList<>();
-  private final ServerSocket server;
+  private final List<Watch> watches = new CopyOnWriteArrayList<>();
+  private final int port;
+  private volatile ServerSocket server;
+  private volatile Outage outage = Outage.NONE;
+  private volatile boolean closed;
 
   FakeJournal(List<String> events) throws IOException {
     this(events, 0);
   }
 
   FakeJournal(List<String> events, int port) throws IOException {
-    this.server = new ServerSocket(port, BACKLOG, InetAddress.getByName("127.0.0.1"));
     this.events.addAll(events);
+    listen(port);
+    this.port = server.getLocalPort();
+    TestIo.inBackground(this::beat);
+  }
+
+  private void listen(int at) throws IOException {
+    ServerSocket listening = new ServerSocket();
+    listening.setReuseAddress(true);
+    listening.bind(new java.net.InetSocketAddress(InetAddress.getByName("127.0.0.1"), at), BACKLOG);
+    server = listening;
     TestIo.inBackground(
         () -> {
           while (true) {
-            Socket socket = server.accept();
-            TestIo.inBackground(() -> serve(socket));
+            Socket socket = listening.accept();
+            if (outage == Outage.RESET) {
+              reset(socket);
+            } else {
+              TestIo.inBackground(() -> serve(socket));
+            }
           }
         });
   }
@@ -41,13 +88,79 @@
     String line = TestIo.readLine(socket.getInputStream());
     synchronized (events) {
       asked.add(line);
-      open.add(socket);
-      for (int i = Integer.parseInt(line.split(" ")[1]); i < events.size(); i++) {
-        write(socket, events.get(i) + "\n");
+      Watch watch = new Watch(socket, Integer.parseInt(line.split(" ")[1]));
+      watches.add(watch);
+      watch.sendEvents();
+    }
+  }
+
+  /** Writes the last position each second, and what was delayed when it is due. */
+  private void beat() {
+    long next = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS);
+    while (!closed) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
+      boolean due = System.nanoTime() >= next;
+      next += due ? TimeUnit.MILLISECONDS.toNanos(HEARTBEAT_MILLIS) : 0;
+      synchronized (events) {
+        for (Watch watch : watches) {
+          if (due && watch.hears()) {
+            watch.write("{\"pos\":" + events.size() + "}\n");
+          }
+          watch.writeDue();
+        }
+      }
+    }
+  }
+
+  // ---- outages ----
+
+  /** Is out of reach from now on. */
+  void beginOutage(Outage way) throws IOException {
+    synchronized (events) {
+      outage = way;
+      switch (way) {
+        case REFUSED -> {
+          server.close();
+          breakConnections();
+        }
+        case RESET -> {
+          for (Watch watch : watches) {
+            reset(watch.socket);
+          }
+        }
+        case HALF_LINE -> sendAll("{\"po");
+        default -> {
+          // What it does not say is seen by whoever waits for it.
+        }
       }
     }
   }
 
+  /** Answers again; what was held back or asked for meanwhile is sent. */
+  void endOutage() throws IOException {
+    synchronized (events) {
+      Outage before = outage;
+      outage = Outage.NONE;
+      if (before == Outage.REFUSED) {
+        listen(port);
+      } else if (before == Outage.HALF_LINE) {
+        breakConnections();
+      }
+      for (Watch watch : watches) {
+        watch.sendEvents();
+      }
+    }
+  }
+
+  private static void reset(Socket socket) throws IOException {
+    if (!socket.isClosed()) {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
+  // ---- events ----
+
   static String event(int position, boolean snapshot, String... endpoints) {
     return "{\"pos\":"
         + position
@@ -64,24 +177,22 @@
   void add(boolean send, String... endpoints) throws IOException {
     synchronized (events) {
       events.add(event(events.size() + 1, false, endpoints));
-      if (send) {
-        sendAll(events.get(events.size() - 1) + "\n");
+      for (Watch watch : watches) {
+        if (send) {
+          watch.sendEvents();
+        } else {
+          watch.holdBack();
+        }
       }
     }
   }
 
   void sendAll(String text) throws IOException {
-    for (Socket socket : open) {
-      if (!socket.isClosed()) {
-        write(socket, text);
-      }
+    for (Watch watch : watches) {
+      watch.write(text);
     }
   }
 
-  private static void write(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-  }
-
   List<String> events() {
     synchronized (events) {
       return List.copyOf(events);
@@ -89,22 +200,76 @@
   }
 
   void breakConnections() throws IOException {
-    for (Socket socket : open) {
-      socket.close();
+    for (Watch watch : watches) {
+      watch.socket.close();
     }
   }
 
   int port() {
-    return server.getLocalPort();
+    return port;
   }
 
   String address() {
-    return "127.0.0.1:" + port();
+    return "127.0.0.1:" + port;
   }
 
   @Override
   public void close() throws IOException {
+    closed = true;
     server.close();
     breakConnections();
   }
+
+  /** One gateway's connection. */
+  private final class Watch {
+    private final Socket socket;
+    private final List<Line> delayed = new ArrayList<>();
+    private int sent;
+    private boolean heldBack;
+
+    Watch(Socket socket, int sent) {
+      this.socket = socket;
+      this.sent = sent;
+    }
+
+    /**
+     * Whether the last position is written: after an event that was held back it would be a gap.
+     */
+    boolean hears() {
+      boolean silent = outage == Outage.SILENT || outage == Outage.HALF_LINE;
+      return !silent && !heldBack && !socket.isClosed();
+    }
+
+    void holdBack() {
+      heldBack = true;
+    }
+
+    void sendEvents() {
+      while (sent < events.size() && (outage == Outage.NONE || outage == Outage.SLOW)) {
+        write(events.get(sent++) + "\n");
+      }
+    }
+
+    void write(String text) {
+      long delay = outage == Outage.SLOW ? TimeUnit.MILLISECONDS.toNanos(SLOW_MILLIS) : 0;
+      delayed.add(new Line(text, System.nanoTime() + delay));
+      writeDue();
+    }
+
+    void writeDue() {
+      while (!delayed.isEmpty() && delayed.get(0).dueNanos() <= System.nanoTime()) {
+        writeNow(delayed.remove(0).text());
+      }
+    }
+
+    private void writeNow(String text) {
+      try {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+      } catch (IOException e) {
+        // The gateway has closed the connection.
+        watches.remove(this);
+      }
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/flintlead/platform/OutageRig.java
@@ -0,0 +1,203 @@
+package flintlead.platform;
+
+import flintlead.platform.FakeHost.TimedCommand;
+import flintlead.platform.FakeJournal.Outage;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * One gateway process with hosts, a journal that can be out of reach, and clients that send both
+ * kinds of invocations. Records what hosts received and clients were answered, and judges it.
+ */
+final class OutageRig implements AutoCloseable {
+
+  /** What the journal would have told counts as told this long after its outage began. */
+  static final long TOLD_AFTER_SECONDS = 4;
+
+  private static final int DESCRIPTORS = 512;
+  private static final int HOSTS = 8;
+  private static final int CLIENTS = 4;
+  private static final int CLIENT_PAUSE_MILLIS = 25;
+  private static final int FUNCTIONS = 24;
+
+  /** The grace after a drain was told, with the slack of the sockets' page. */
+  private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_050);
+
+  private static final double MIN_SERVED = 0.95;
+
+  /** A host takes so many probes a second, whoever sends them; a gateway needs far fewer. */
+  private static final int MAX_PROBES_PER_SECOND = 4;
+
+  private record Drain(FakeHost host, long sinceNanos) {}
+
+  private final PlatformFixture fixture;
+  private final Path folder;
+  private final List<Drain> drains = new ArrayList<>();
+  private final AtomicInteger served = new AtomicInteger();
+  private final AtomicInteger asked = new AtomicInteger();
+  private final List<Thread> clients = new ArrayList<>();
+  private PlatformProcess process;
+  private long outageBeganNanos;
+  private volatile boolean traffic;
+
+  OutageRig(Path folder) throws IOException {
+    this.folder = folder;
+    this.fixture = new PlatformFixture(HOSTS, DESCRIPTORS);
+  }
+
+  FakeHost host(int index) {
+    return fixture.hosts.get(index);
+  }
+
+  void startGateway() throws IOException {
+    process = new PlatformProcess(fixture, folder, DESCRIPTORS);
+    fixture.port = process.awaitPort();
+  }
+
+  // ---- clients ----
+
+  void startClients() {
+    traffic = true;
+    for (int i = 0; i < CLIENTS; i++) {
+      int client = i;
+      Thread thread = new Thread(() -> runClient(client), "outage-client-" + i);
+      clients.add(thread);
+      thread.start();
+    }
+  }
+
+  private void runClient(int client) {
+    try (TestClient connection = fixture.client()) {
+      for (long number = 1; traffic; number++) {
+        long id = number * CLIENTS + client;
+        asked.incrementAndGet();
+        if (connection.send(request(id)).response().status() == 200) {
+          served.incrementAndGet();
+        }
+        Thread.sleep(CLIENT_PAUSE_MILLIS);
+      }
+    } catch (IOException | InterruptedException e) {
+      // What was asked and not served counts.
+    }
+  }
+
+  /** Each second one may be repeated freely, the others carry an idempotency key. */
+  private static String request(long id) {
+    String headers =
+        id / CLIENTS % 2 == 0
+            ? "X-Class: check\r\nX-Ttl-Ms: 1360\r\n"
+            : "X-Class: lodge\r\nX-Ttl-Ms: 1360\r\nX-Txn-Key: "
+                + String.format("%032x", id)
+                + "\r\n";
+    String function = String.format("%016x", 0x1000 + id % FUNCTIONS);
+    return PlatformFixture.call(id, headers, "x").replace("00000000000000aa", function);
+  }
+
+  void stopClients() throws InterruptedException {
+    traffic = false;
+    for (Thread client : clients) {
+      client.join();
+    }
+  }
+
+  // ---- faults ----
+
+  void beginOutage(Outage way) throws IOException {
+    outageBeganNanos = System.nanoTime();
+    asked.set(0);
+    served.set(0);
+    fixture.journal.beginOutage(way);
+  }
+
+  void endOutage() throws IOException {
+    fixture.journal.endOutage();
+  }
+
+  /** The configuration names an address where nobody listens, and SIGHUP says so. */
+  void moveJournalToNowhere() throws IOException {
+    int unused;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      unused = socket.getLocalPort();
+    }
+    fixture.withSetting(fixture.journal.address(), "127.0.0.1:" + unused);
+    process.signal("HUP");
+  }
+
+  /** The hosts drain: they stay up, and the journal has it whether it is reached or not. */
+  void drain(int... hosts) throws IOException {
+    for (int index : hosts) {
+      FakeHost host = host(index);
+      drains.add(new Drain(host, System.nanoTime()));
+      host.draining = true;
+      fixture.journal.add(true, host.endpoint("leaving"));
+    }
+  }
+
+  /** The host's process ends, and another one under its name and address is ready. */
+  void restart(int index) throws IOException {
+    FakeHost before = host(index);
+    fixture.journal.add(true, before.endpoint("left"));
+    before.close();
+    FakeHost again = FakeHost.listening(before.name, before.port());
+    fixture.hosts.set(index, again);
+    fixture.journal.add(true, again.endpoint("active", System.currentTimeMillis()));
+  }
+
+  // ---- judgement ----
+
+  /** What was wrong. */
+  List<String> judge() {
+    List<String> found = new ArrayList<>();
+    for (Drain drain : drains) {
+      long told =
+          Math.max(
+              drain.sinceNanos, outageBeganNanos + TimeUnit.SECONDS.toNanos(TOLD_AFTER_SECONDS));
+      long late =
+          drain.host.timedCommands.stream()
+              .filter(command -> command.isNewWork() && command.nanos() > told + GRACE_NANOS)
+              .count();
+      if (late > 0) {
+        found.add(late + " sends to " + drain.host.name + " after its grace");
+      }
+    }
+    double share = served.get() / (double) Math.max(1, asked.get());
+    if (share < MIN_SERVED) {
+      found.add("served " + served + " of " + asked);
+    }
+    fixture.hosts.forEach(host -> judgeProbes(host, found));
+    if (!found.isEmpty()) {
+      found.add(
+          "log " + process.log.subList(Math.max(0, process.log.size() - 12), process.log.size()));
+    }
+    return found;
+  }
+
+  private static void judgeProbes(FakeHost host, List<String> found) {
+    Map<Long, Integer> perSecond = new TreeMap<>();
+    for (TimedCommand command : host.timedCommands) {
+      if (command.isProbe()) {
+        perSecond.merge(TimeUnit.NANOSECONDS.toSeconds(command.nanos()), 1, Integer::sum);
+      }
+    }
+    int most = perSecond.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    if (most > MAX_PROBES_PER_SECOND) {
+      found.add(most + " probes in a second to " + host.name);
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    stopClients();
+    if (process != null) {
+      process.close();
+    }
+    fixture.close();
+  }
+}
--- a/src/test/java/flintlead/platform/PlatformFixture.java
+++ b/src/test/java/flintlead/platform/PlatformFixture.java
@@ -84,7 +84,7 @@
           + "\"tick\":1000,\"extra\":{\"when_absent\":\"load\",\"idle_life\":4000000,"
           + "\"load_wait\":4000000,\"loads_within\":5000000,\"free_loads\":2,\"load_share\":0.3},"
           + "\"feedback\":{\"names\":[\"waiting\"]},\"limits\":{\"attempts_cap\":3,"
-          + "\"cancel\":true,\"conn_idle\":15000000,\"dial_timeout\":250000,\"max_streams\":100,"
+          + "\"cancel\":true,\"probes\":true,\"conn_idle\":15000000,\"dial_timeout\":250000,\"max_streams\":100,"
           + "\"retry_after\":true,\"max_retry_after\":500000},"
           + "\"rules\":{\"answer_slack\":5000,\"drain_grace\":1000000,\"warm_after\":5000000,"
           + "\"cold_from\":0.3,\"fall_multiple\":2.5,\"overload_for\":3000000},"
--- a/src/test/java/flintlead/platform/PlatformHostTest.java
+++ b/src/test/java/flintlead/platform/PlatformHostTest.java
@@ -190,6 +190,7 @@
   @Test
   void aSilentJournalIsAskedAgain() throws Exception {
     start(1);
+    fixture.journal.beginOutage(FakeJournal.Outage.SILENT);
     await().until(() -> fixture.journal.asked.size() == 2);
   }
 
