Outage test asks for new functions all the time, so that each scenario shows its sends

Cause: with a fixed set of functions a drained host was soon no longer asked for, and two scenarios found nothing on the code as it is.

--- a/src/test/java/flintlead/platform/OutageRig.java
+++ b/src/test/java/flintlead/platform/OutageRig.java
@@ -27,6 +27,9 @@
   private static final int CLIENT_PAUSE_MILLIS = 25;
   private static final int FUNCTIONS = 24;
 
+  /** Requests after which a function is no longer asked for, and a new one is. */
+  private static final int REQUESTS_PER_NEW_FUNCTION = 32;
+
   /** The grace after a drain was told, with the slack of the sockets' page. */
   private static final long GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_050);
 
@@ -96,7 +99,8 @@
             : "X-Class: lodge\r\nX-Ttl-Ms: 1360\r\nX-Txn-Key: "
                 + String.format("%032x", id)
                 + "\r\n";
-    String function = String.format("%016x", 0x1000 + id % FUNCTIONS);
+    long retired = id / REQUESTS_PER_NEW_FUNCTION;
+    String function = String.format("%016x", 0x1000 + retired + id % FUNCTIONS);
     return PlatformFixture.call(id, headers, "x").replace("00000000000000aa", function);
   }
 
