Leases: new work leaves only for hosts that the current list or a proof of their own shows

Cause: a fact was used without a bound on its age: the host list, however old, counted as the present. Change: scheduling.lease decides (pure): the list renews all leases until 4 s after it was last known to hold everything, or 2 s after its connection broke, and 0.8 of the grace; then only an answered probe or served work does, from when it was sent. routing.guard.HostSendGuard enforces it at the moment of writing for attempts and load orders; a violation is counted. A host without a lease is probed right before the send; who waits is sent elsewhere if nothing is proven (outcome UNPROVEN, no attempt used up). A heartbeat as the service writes it is understood; only one with the last applied position confirms the list, as of when it can have been written. A start counts as unconfirmed.

--- a/src/main/java/flintlead/platform/HostAttempt.java
+++ b/src/main/java/flintlead/platform/HostAttempt.java
@@ -123,6 +123,11 @@
     return runner.guard().maySend(invocation.record(), seenAt(deliveredUpTo), abandonAt, clock);
   }
 
+  @Override
+  protected boolean isNewWork() {
+    return true;
+  }
+
   @Override
   protected void handedOver(Moment clock) {
     runner.guard().sent(invocation.record(), invocation.client().seenOpenAt(), granted, clock);
--- a/src/main/java/flintlead/platform/HostOperations.java
+++ b/src/main/java/flintlead/platform/HostOperations.java
@@ -140,6 +140,12 @@
       this.instances = instances;
     }
 
+    /** An order for no instance only asks. */
+    @Override
+    protected boolean isNewWork() {
+      return instances > 0;
+    }
+
     @Override
     protected void write(ByteBuf out) {
       HostProtocol.writeProvision(out, tag(), function, instances);
--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -4,10 +4,10 @@
 import flintlead.platform.journal.HostEventProcessor;
 import flintlead.platform.upstream.ConnectionPools;
 import flintlead.routing.admission.AdmissionController;
-import flintlead.routing.guard.Invariant;
 import flintlead.routing.guard.InvariantMonitor;
 import flintlead.routing.guard.InvocationGuard;
 import flintlead.scheduling.api.Deployment;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Span;
 import flintlead.transport.loop.EventExecutor;
 import flintlead.transport.loop.RepeatingTask;
@@ -21,12 +21,14 @@
  */
 final class PlatformGateway {
 
+  private static final Span LIST_CHECK_INTERVAL = Span.ofMillis(100);
   private static final Span SUMMARY_INTERVAL = Span.ofMillis(5_000);
 
   private final EventExecutor loop;
   private final ConnectionPools pools;
   private final Logger log;
   private final TrafficCounters counters = new TrafficCounters();
+  private final HostLeases leases;
   private final InvariantMonitor monitor;
   private final InvocationGuard guard;
   private final InvocationRegistry registry;
@@ -58,7 +60,8 @@
     AdmissionController admission =
         new AdmissionController(settings.admission(), new Random(random.nextLong()));
     HostFeedback feedback = new HostFeedback(deployment);
-    this.monitor = new InvariantMonitor(this::logViolation);
+    this.leases = pools.guard().leases();
+    this.monitor = pools.guard().monitor();
     this.guard = new InvocationGuard(monitor);
     this.registry = new InvocationRegistry(loop, admission, guard, deployment.answerSlack(), log);
     PlatformSchedulerContext context =
@@ -68,6 +71,7 @@
             new AttemptRunner(loop, pools, deployment, registry, counters, feedback, guard),
             new HostOperations(loop, pools, deployment.loadTimeout(), settings.probeTimeout()),
             feedback,
+            leases,
             counters,
             log,
             deployment,
@@ -77,6 +81,7 @@
             loop, registry, guard, context.scheduler(), counters, settings.triggerTypeNames(), log);
     this.hosts = new HostListUpdater(pools, context.scheduler());
     invocations.startOverdueChecks();
+    RepeatingTask.start(loop, LIST_CHECK_INTERVAL, () -> leases.checkList(loop.now()));
     RepeatingTask.start(loop, SUMMARY_INTERVAL, this::logSummary);
   }
 
@@ -84,15 +89,11 @@
     counters.logAndReset(
         log,
         new TrafficCounters.State(
-            openCount(), pools.connections(), pools.pollDeferredSends(), monitor));
-  }
-
-  private void logViolation(Invariant invariant, String id, String detail) {
-    log.atError()
-        .addKeyValue("invariant", invariant.key())
-        .addKeyValue("id", id)
-        .addKeyValue("detail", detail)
-        .log("invariant_violated");
+            openCount(),
+            pools.connections(),
+            pools.pollDeferredSends(),
+            leases.takeRefusals(),
+            monitor));
   }
 
   /** The process did not look at its sockets for that long. */
--- a/src/main/java/flintlead/platform/PlatformSchedulerContext.java
+++ b/src/main/java/flintlead/platform/PlatformSchedulerContext.java
@@ -5,6 +5,7 @@
 import flintlead.scheduling.api.Deployment;
 import flintlead.scheduling.api.SchedulerContext;
 import flintlead.scheduling.api.SchedulingPolicy;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.EventExecutor;
@@ -22,6 +23,7 @@
   private final AttemptRunner attempts;
   private final HostOperations operations;
   private final HostFeedback feedback;
+  private final HostLeases leases;
   private final TrafficCounters counters;
   private final Logger log;
   private final SchedulingPolicy scheduler;
@@ -29,6 +31,7 @@
   /**
    * Creates the context and its scheduler.
    *
+   * @param leases of the hosts
    * @param seed of the scheduler's random choices
    * @param log receives {@code scheduler_message}
    */
@@ -38,6 +41,7 @@
       AttemptRunner attempts,
       HostOperations operations,
       HostFeedback feedback,
+      HostLeases leases,
       TrafficCounters counters,
       Logger log,
       Deployment deployment,
@@ -47,6 +51,7 @@
     this.attempts = attempts;
     this.operations = operations;
     this.feedback = feedback;
+    this.leases = leases;
     this.counters = counters;
     this.log = log;
     this.scheduler = new Scheduler(this, deployment, seed);
@@ -71,6 +76,11 @@
     log.atInfo().addKeyValue("text", line).log("scheduler_message");
   }
 
+  @Override
+  public HostLeases leases() {
+    return leases;
+  }
+
   // ---- invocations ----
 
   @Override
--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -10,8 +10,12 @@
 import flintlead.platform.upstream.ConnectionPools;
 import flintlead.platform.upstream.LinkLimits;
 import flintlead.routing.admission.AdmissionController;
+import flintlead.routing.guard.HostSendGuard;
+import flintlead.routing.guard.InvariantMonitor;
 import flintlead.scheduling.api.Deployment;
 import flintlead.scheduling.api.TriggerType;
+import flintlead.scheduling.lease.HostLeases;
+import flintlead.scheduling.lease.LeaseTerms;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.Address;
@@ -113,7 +117,7 @@
     int descriptors = configuration.sockets() - RESERVED_DESCRIPTORS;
     int maxClients = (int) (descriptors * CLIENT_DESCRIPTOR_FRACTION);
     ConnectionPools pools =
-        new ConnectionPools(hostLimits(settings, descriptors - maxClients), loop, loop, log);
+        connectionPools(hostLimits(settings, descriptors - maxClients), leaseTerms(settings));
     gateway =
         new PlatformGateway(
             loop,
@@ -125,7 +129,7 @@
                 admissionBounds(maxClients),
                 random.nextLong()),
             log);
-    journal = createJournal(settings, new Random(random.nextLong()));
+    journal = createJournal(settings, pools.guard().leases(), new Random(random.nextLong()));
     journal.start();
     InvocationRequestParser parser = requestParser(settings, deployment);
     front =
@@ -134,7 +138,22 @@
     loop.onStandstill(this::stoodStill);
   }
 
-  private JournalClient createJournal(StartupSettings settings, Random random) {
+  private static LeaseTerms leaseTerms(StartupSettings settings) {
+    Deployment deployment = settings.deployment();
+    return new LeaseTerms(
+        settings.span("rules.drain_grace"), deployment.supportsProbes(), deployment.gateways());
+  }
+
+  private ConnectionPools connectionPools(LinkLimits limits, LeaseTerms terms) {
+    GuardLog guardLog = new GuardLog(log);
+    InvariantMonitor monitor = new InvariantMonitor(guardLog);
+    HostSendGuard guard = new HostSendGuard(new HostLeases(terms, guardLog), monitor);
+    ConnectionPools pools = new ConnectionPools(limits, loop, loop, guard, log);
+    guardLog.useNames(pools::hostName);
+    return pools;
+  }
+
+  private JournalClient createJournal(StartupSettings settings, HostLeases leases, Random random) {
     WallClock clock = new WallClock(loop::now, System::currentTimeMillis);
     HostEventProcessor events =
         new HostEventProcessor(
@@ -145,6 +164,7 @@
         loop,
         loop,
         events,
+        leases,
         new JsonReader(),
         random,
         reloader::reloadIfModified,
--- a/src/main/java/flintlead/platform/RateLimitedLog.java
+++ b/src/main/java/flintlead/platform/RateLimitedLog.java
@@ -1,8 +1,8 @@
 package flintlead.platform;
 
-import flintlead.scheduling.state.TokenBucket;
 import flintlead.time.Moment;
 import flintlead.time.Span;
+import flintlead.time.TokenBucket;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.function.Supplier;
--- a/src/main/java/flintlead/platform/TrafficCounters.java
+++ b/src/main/java/flintlead/platform/TrafficCounters.java
@@ -5,6 +5,7 @@
 import flintlead.routing.guard.Invariant;
 import flintlead.routing.guard.InvariantMonitor;
 import flintlead.scheduling.api.Outcome;
+import flintlead.scheduling.lease.RefusalReason;
 import flintlead.time.Span;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -85,7 +86,12 @@
   }
 
   /** What is counted elsewhere. */
-  record State(int open, int hostConnections, int deferredSends, InvariantMonitor invariants) {}
+  record State(
+      int open,
+      int hostConnections,
+      int deferredSends,
+      Map<RefusalReason, Integer> refusals,
+      InvariantMonitor invariants) {}
 
   /** Logs {@code traffic_summary} where anything happened, and begins to count anew. */
   void logAndReset(Logger log, State state) {
@@ -127,6 +133,9 @@
     for (Outcome outcome : OUTCOMES) {
       event = addIfAny(event, OUTCOME_KEYS[outcome.ordinal()], attempts[outcome.ordinal()]);
     }
+    for (Map.Entry<RefusalReason, Integer> refusal : state.refusals.entrySet()) {
+      event = addIfAny(event, refusal.getKey().key(), refusal.getValue());
+    }
     for (Invariant invariant : Invariant.values()) {
       event = addIfAny(event, "violated_" + invariant.key(), state.invariants.count(invariant));
     }
--- a/src/main/java/flintlead/platform/journal/JournalClient.java
+++ b/src/main/java/flintlead/platform/journal/JournalClient.java
@@ -1,5 +1,7 @@
 package flintlead.platform.journal;
 
+import flintlead.scheduling.lease.HostLeases;
+import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.jsonrpc.LineDecoder;
 import flintlead.transport.loop.Address;
@@ -11,13 +13,15 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Random;
 import org.slf4j.Logger;
 
 /**
  * Watches the journal service: asks for what comes after the last event applied, and asks again,
  * after a backoff, when the connection breaks, stays silent, sends what is malformed or leaves an
- * event out. Used on the event loop only.
+ * event out. Tells the leases of the hosts since when the list is known to hold everything. Used on
+ * the event loop only.
  */
 public final class JournalClient {
 
@@ -39,28 +43,30 @@
   private final EventExecutor loop;
   private final Transport transport;
   private final HostEventProcessor events;
+  private final HostLeases leases;
   private final JsonReader json;
   private final Random random;
   private final Runnable onFailure;
-  private final Logger log;
+  private final WatchFailures failures;
   private Address address;
   private Watch current;
-  private int failures;
   private boolean stopped;
 
   /**
    * Creates a client that is not connected.
    *
    * @param events applies what the service sends
+   * @param leases of the hosts, which depend on how old the list is
    * @param random spreads the backoff
    * @param onFailure run each time that the service failed, before it is asked again
-   * @param log receives {@code journal_watch_failed}
+   * @param log receives {@code journal_watch_failed} and {@code journal_watch_restored}
    */
   public JournalClient(
       Address address,
       EventExecutor loop,
       Transport transport,
       HostEventProcessor events,
+      HostLeases leases,
       JsonReader json,
       Random random,
       Runnable onFailure,
@@ -69,10 +75,11 @@
     this.loop = loop;
     this.transport = transport;
     this.events = events;
+    this.leases = leases;
     this.json = json;
     this.random = random;
     this.onFailure = onFailure;
-    this.log = log;
+    this.failures = new WatchFailures(log);
   }
 
   /** Begins to watch. */
@@ -84,7 +91,7 @@
   public void moveTo(Address to) {
     if (!stopped && !to.equals(address)) {
       address = to;
-      failures = 0;
+      failures.reset();
       if (current != null) {
         current.drop();
       }
@@ -107,16 +114,12 @@
   }
 
   private void failed(Watch watch, String reason) {
-    Span limit =
-        Span.shorter(MAX_BACKOFF, FIRST_BACKOFF.times(1L << Math.min(failures++, MAX_DOUBLINGS)));
+    int doublings = Math.min(failures.count(), MAX_DOUBLINGS);
+    Span limit = Span.shorter(MAX_BACKOFF, FIRST_BACKOFF.times(1L << doublings));
     if (stopped) {
       return;
     }
-    log.atWarn()
-        .addKeyValue("address", address)
-        .addKeyValue("reason", reason)
-        .addKeyValue("last_position", events.lastPosition())
-        .log("journal_watch_failed");
+    failures.failed(address, reason, events.lastPosition(), loop.now());
     onFailure.run();
     loop.scheduleAfter(
         limit.times(0.5 + random.nextDouble() / 2),
@@ -133,6 +136,7 @@
     private Stream stream;
     private Runnable cancelTimeout = () -> {};
     private boolean closed;
+    private HeartbeatAge heartbeats;
 
     void expectInputWithin(Span timeout) {
       cancelTimeout.run();
@@ -142,6 +146,7 @@
     @Override
     public void opened() {
       if (!closed) {
+        heartbeats = new HeartbeatAge(loop.now());
         String command = "tail " + events.lastPosition() + "\n";
         stream.write(Unpooled.copiedBuffer(command, StandardCharsets.US_ASCII));
         expectInputWithin(SILENCE_TIMEOUT);
@@ -165,18 +170,36 @@
           fail("events after " + events.lastPosition() + " are missing");
           return;
         }
-        failures = 0;
+        failures.succeeded(loop.now());
         expectInputWithin(SILENCE_TIMEOUT);
       } catch (IllegalArgumentException e) {
         fail(e.getMessage());
       }
     }
 
-    /** Applies an event, or checks a bare number: the position of the service's last event. */
+    /** Applies an event or a heartbeat; false where events are missing before it. */
     private boolean apply(Object message) {
-      return message instanceof Number position
-          ? position.longValue() <= events.lastPosition()
-          : events.apply(message);
+      if (message instanceof Number position) {
+        return heartbeat(position.longValue());
+      }
+      if (message instanceof Map<?, ?> members
+          && members.get("pos") instanceof Number position
+          && !members.containsKey("hosts")) {
+        return heartbeat(position.longValue());
+      }
+      return events.apply(message);
+    }
+
+    /**
+     * The position of the service's last event. Only where it is the last one applied too, the list
+     * holds everything: a service that is behind has not told all that another one told before.
+     */
+    private boolean heartbeat(long position) {
+      Moment writtenAt = heartbeats.earliestWriting(stream.earliestArrival());
+      if (position == events.lastPosition()) {
+        leases.listConfirmed(writtenAt);
+      }
+      return position <= events.lastPosition();
     }
 
     @Override
@@ -186,6 +209,9 @@
 
     @Override
     public void closed(String error) {
+      if (!closed) {
+        leases.listBroken(heartbeats == null ? loop.now() : stream.quietAt());
+      }
       fail(error);
     }
 
--- a/src/main/java/flintlead/platform/upstream/ConnectionPool.java
+++ b/src/main/java/flintlead/platform/upstream/ConnectionPool.java
@@ -4,6 +4,7 @@
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.Address;
+import flintlead.transport.loop.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -15,15 +16,6 @@
  */
 public final class ConnectionPool {
 
-  /** What the endpoint list says of the host. */
-  private enum HostStatus {
-    ACTIVE,
-    /** Gets no new request; may become active again. */
-    DRAINING,
-    /** Not listed any more, for good. */
-    REMOVED
-  }
-
   /** How long after a connection broke the host is given to show that it is alive. */
   private static final Span LIVENESS_TIMEOUT = Span.ofMillis(150);
 
@@ -51,19 +43,23 @@
   private final HostConnections connections = new HostConnections();
   private final Deque<Request> queue = new ArrayDeque<>();
   private final UnsettledRequests unsettled = new UnsettledRequests(this::endLater);
-  private HostStatus status = HostStatus.ACTIVE;
+  private final HostProofs proof;
+  private final ListedStatus listed = new ListedStatus();
 
   /** Whether what is queued waits until the sockets were looked at. */
   private boolean awaitsPoll;
 
-  /** Counts the drains: a host may drain, become active and drain again. */
-  private int drainCount;
-
-  ConnectionPool(ConnectionPools all, String hostName, Address address, Moment startedAt) {
+  ConnectionPool(
+      ConnectionPools all, long host, String hostName, Address address, Moment startedAt) {
     this.all = all;
     this.hostName = hostName;
     this.address = address;
     this.startedAt = startedAt;
+    this.proof = new HostProofs(this, host, all.guard());
+  }
+
+  String hostName() {
+    return hostName;
   }
 
   Address address() {
@@ -74,6 +70,18 @@
     return startedAt;
   }
 
+  HostProofs proof() {
+    return proof;
+  }
+
+  boolean isActive() {
+    return listed.isActive();
+  }
+
+  EventExecutor loop() {
+    return all.loop();
+  }
+
   LinkLimits limits() {
     return all.limits();
   }
@@ -86,16 +94,24 @@
 
   /** Sends the request, or queues it; its outcome is never delivered within this call. */
   public void run(Request request) {
-    if (status != HostStatus.ACTIVE) {
+    if (!isActive()) {
       endLater(request, Outcome.CONNECT_FAILED);
-    } else if (queue.size() >= MAX_QUEUED) {
+    } else if (queue.size() + proof.waiting() >= MAX_QUEUED) {
       endLater(request, Outcome.FULL);
+    } else if (request.isNewWork() && !proof.holds()) {
+      proof.await(request);
     } else {
       queue.add(request);
       sendQueued();
     }
   }
 
+  /** Sends requests whose host has just been proven to take new work. */
+  void sendProven(List<Request> proven) {
+    queue.addAll(proven);
+    sendQueued();
+  }
+
   /** Sends a command that has no response; dropped where no connection accepts it now. */
   public void sendCommand(String line) {
     HostConnection connection = connections.anyAccepting();
@@ -113,7 +129,9 @@
     request.withdrawn();
     unsettled.remove(request);
     if (!request.mayHaveLeft()) {
-      queue.remove(request);
+      if (!queue.remove(request)) {
+        proof.remove(request);
+      }
       return true;
     }
     request.connection().cancel(request);
@@ -125,12 +143,13 @@
    * outcome is delivered later.
    */
   public void withdrawIfQueued(Request request) {
-    if (queue.remove(request)) {
+    if (queue.remove(request) || proof.remove(request)) {
       endLater(request, Outcome.WITHDRAWN);
     }
   }
 
-  private void endLater(Request request, Outcome outcome) {
+  /** Delivers the outcome of a request that is nowhere any more, as an event of its own. */
+  void endLater(Request request, Outcome outcome) {
     request.decided();
     all.loop().scheduleAt(now(), () -> request.end(outcome, ResponseFields.NONE, null));
   }
@@ -180,6 +199,7 @@
         sendAfterNextPoll();
         return false;
       }
+      case PROVE_FIRST, UNPROVEN -> proof.await(request);
       default -> endLater(request, Outcome.WITHDRAWN);
     }
     return true;
@@ -207,7 +227,7 @@
   // ---- opening connections ----
 
   private boolean mayConnect() {
-    return status == HostStatus.ACTIVE && connections.size() < all.maxPerHost();
+    return isActive() && connections.size() < all.maxPerHost();
   }
 
   /** Begins to open a connection; false where the bounds on all connections do not allow it. */
@@ -229,7 +249,7 @@
     connections.opened();
     unsettled.hostIsAlive();
     sendQueued();
-    if (status != HostStatus.ACTIVE) {
+    if (!isActive()) {
       connection.drain();
     }
   }
@@ -246,11 +266,7 @@
   }
 
   void logMalformedResponse(String reason) {
-    all.log()
-        .atWarn()
-        .addKeyValue("host", hostName)
-        .addKeyValue("reason", reason)
-        .log("host_response_malformed");
+    all.logMalformedResponse(hostName, reason);
   }
 
   void closed(HostConnection connection, List<Request> unanswered, CloseReason reason) {
@@ -259,7 +275,12 @@
     switch (reason) {
       case MALFORMED_RESPONSE ->
           unanswered.forEach(request -> endLater(request, Outcome.CONNECTION_LOST));
-      case BROKEN -> checkLiveness(unanswered);
+      case BROKEN -> {
+        checkLiveness(unanswered);
+        if (!connections.hasOpen()) {
+          proof.lastConnectionBroke();
+        }
+      }
       case RESET_WHILE_CONNECTING -> {
         // Only a listening host can reset a connection that it has accepted.
         unsettled.hostIsAlive();
@@ -271,6 +292,7 @@
         connectFailed(1);
       }
       case CONNECT_FAILED -> {
+        proof.unreachable();
         unsettled.hostIsDead();
         connectFailed(MAX_CONNECT_FAILURES);
       }
@@ -313,41 +335,36 @@
 
   /** Sends nothing new from now on and ends what is queued; what is in flight may end. */
   void drain() {
-    if (status == HostStatus.ACTIVE) {
-      beginDraining(HostStatus.DRAINING);
+    if (listed.drain()) {
+      beginDraining();
     }
   }
 
   /** The host takes part again, under the same name. */
   void activate() {
-    status = HostStatus.ACTIVE;
+    listed.activate();
   }
 
   /** The host is not listed any more: drains for good. */
   void remove() {
-    if (status == HostStatus.ACTIVE) {
-      beginDraining(HostStatus.REMOVED);
+    if (listed.remove()) {
+      beginDraining();
     }
-    status = HostStatus.REMOVED;
   }
 
-  private void beginDraining(HostStatus as) {
-    status = as;
-    int thisDrain = ++drainCount;
+  private void beginDraining() {
+    int thisDrain = listed.drainNumber();
+    queue.addAll(proof.takeWaiting());
     List<Request> queued = List.copyOf(queue);
     queue.clear();
     queued.forEach(request -> endLater(request, Outcome.CONNECT_FAILED));
     connections.copy().forEach(HostConnection::drain);
-    all.loop()
-        .scheduleAfter(
-            limits().drainGrace().times(DISCARD_FRACTION), () -> discardUnsent(thisDrain));
+    loop().scheduleAfter(limits().drainGrace().times(DISCARD_FRACTION), () -> discard(thisDrain));
   }
 
-  private void discardUnsent(int ofDrain) {
-    for (HostConnection connection : connections.copy()) {
-      if (status != HostStatus.ACTIVE && ofDrain == drainCount && connection.hasUnsentBytes()) {
-        connection.discardUnsentBytes();
-      }
+  private void discard(int ofDrain) {
+    if (listed.isInDrain(ofDrain)) {
+      connections.discardUnsentBytes();
     }
   }
 
@@ -355,33 +372,25 @@
 
   /** Whether nothing is left of it. */
   boolean isEmpty() {
-    return connections.isEmpty() && queue.isEmpty() && unsettled.isEmpty();
+    return connections.isEmpty() && queue.isEmpty() && unsettled.isEmpty() && proof.isEmpty();
   }
 
   /**
-   * Closes connections that are idle for long or cut off in the middle of a response. Called
-   * regularly, as it also sends queued requests: that another pool's connection made room is an
-   * event of no connection here.
+   * Looks after its connections. Called regularly, as it also sends queued requests: that another
+   * pool's connection made room is an event of no connection here.
    */
   void maintain(Moment now) {
     sendQueued();
-    for (HostConnection connection : connections.copy()) {
-      connection.checkPartialResponse(now);
-      if (connection.isIdle()
-          && now.since(connection.lastUsedAt())
-              .isLongerThan(limits().hostIdleTimeout().times(IDLE_TIMEOUT_FRACTION))) {
-        connection.close();
-      }
+    if (!proof.holds()) {
+      // What has not left yet would arrive after the host's lease has ended.
+      connections.discardUnsentBytes();
     }
+    connections.maintain(now, limits().hostIdleTimeout().times(IDLE_TIMEOUT_FRACTION));
   }
 
   /** Closes connections that have nothing in flight. */
   public void closeIdle() {
-    for (HostConnection connection : connections.copy()) {
-      if (connection.isIdle()) {
-        connection.close();
-      }
-    }
+    connections.closeIdle();
   }
 
   /** The connection that has been idle for longest; null where none is idle. */
--- a/src/main/java/flintlead/platform/upstream/ConnectionPools.java
+++ b/src/main/java/flintlead/platform/upstream/ConnectionPools.java
@@ -1,5 +1,6 @@
 package flintlead.platform.upstream;
 
+import flintlead.routing.guard.HostSendGuard;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.dial.ConnectionBudget;
@@ -31,6 +32,7 @@
   private final LinkLimits limits;
   private final EventExecutor loop;
   private final Transport transport;
+  private final HostSendGuard guard;
   private final Logger log;
   private final ConnectionBudget budget;
   private final Map<Long, ConnectionPool> pools = new TreeMap<>();
@@ -48,12 +50,15 @@
    * Creates pools for no hosts and begins their upkeep.
    *
    * @param limits bounds of the connections
+   * @param guard decides at the moment of writing whether new work may leave
    * @param log receives {@code host_response_malformed}
    */
-  public ConnectionPools(LinkLimits limits, EventExecutor loop, Transport transport, Logger log) {
+  public ConnectionPools(
+      LinkLimits limits, EventExecutor loop, Transport transport, HostSendGuard guard, Logger log) {
     this.limits = limits;
     this.loop = loop;
     this.transport = transport;
+    this.guard = guard;
     this.log = log;
     this.budget = new ConnectionBudget(limits.maxConnections(), MAX_CONNECTS_PER_SECOND);
     RepeatingTask.start(loop, MAINTENANCE_INTERVAL, this::maintain);
@@ -98,7 +103,7 @@
       pool = null;
     }
     if (pool == null) {
-      pool = new ConnectionPool(this, name, address, startedAt);
+      pool = new ConnectionPool(this, host, name, address, startedAt);
       pools.put(host, pool);
     }
     if (draining) {
@@ -113,6 +118,7 @@
     ConnectionPool pool = pools.remove(host);
     if (pool != null) {
       pool.remove();
+      guard.leases().forget(host);
       removed.add(pool);
     }
   }
@@ -134,8 +140,22 @@
     return transport;
   }
 
-  Logger log() {
-    return log;
+  void logMalformedResponse(String hostName, String reason) {
+    log.atWarn()
+        .addKeyValue("host", hostName)
+        .addKeyValue("reason", reason)
+        .log("host_response_malformed");
+  }
+
+  /** Decides at the moment of writing whether new work may leave. */
+  public HostSendGuard guard() {
+    return guard;
+  }
+
+  /** The name of a host; its number where it is not listed. */
+  public String hostName(long host) {
+    ConnectionPool pool = pools.get(host);
+    return pool == null ? Long.toHexString(host) : pool.hostName();
   }
 
   /**
--- a/src/main/java/flintlead/platform/upstream/HostConnection.java
+++ b/src/main/java/flintlead/platform/upstream/HostConnection.java
@@ -114,7 +114,11 @@
     ByteBuf bytes = Unpooled.buffer(TYPICAL_COMMAND_BYTES);
     request.write(bytes);
     // After all that takes time: between this check and the system call nothing else is done.
-    SendVerdict verdict = request.maySend(polls.deliveredUpTo(), polls.readClock());
+    Moment clock = polls.readClock();
+    SendVerdict verdict = request.maySend(polls.deliveredUpTo(), clock);
+    if (verdict == SendVerdict.SEND && request.isNewWork()) {
+      verdict = pool.proof().maySend(clock);
+    }
     if (verdict != SendVerdict.SEND) {
       return verdict;
     }
@@ -124,6 +128,9 @@
     request.sent(this, lastUsedAt);
     inFlight.put(request.tag(), request);
     request.handedOver(polls.readClock());
+    if (request.isNewWork()) {
+      pool.proof().sent(request.tag(), polls.readClock());
+    }
     return verdict;
   }
 
@@ -265,6 +272,9 @@
     Request request = inFlight.remove(tag);
     if (request != null) {
       lastUsedAt = pool.now();
+      if (request.isNewWork()) {
+        pool.proof().answered(outcome, request.sentAt());
+      }
       request.end(outcome, fields, body);
       closeIfDone();
     }
--- a/src/main/java/flintlead/platform/upstream/HostConnections.java
+++ b/src/main/java/flintlead/platform/upstream/HostConnections.java
@@ -1,5 +1,7 @@
 package flintlead.platform.upstream;
 
+import flintlead.time.Moment;
+import flintlead.time.Span;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -88,6 +90,34 @@
     return null;
   }
 
+  /** Closes connections that have nothing in flight. */
+  void closeIdle() {
+    for (HostConnection connection : copy()) {
+      if (connection.isIdle()) {
+        connection.close();
+      }
+    }
+  }
+
+  /** Breaks off connections that hold bytes which must not arrive any more. */
+  void discardUnsentBytes() {
+    for (HostConnection connection : copy()) {
+      if (connection.hasUnsentBytes()) {
+        connection.discardUnsentBytes();
+      }
+    }
+  }
+
+  /** Closes connections that are idle for long or cut off in the middle of a response. */
+  void maintain(Moment now, Span idleTimeout) {
+    for (HostConnection connection : copy()) {
+      connection.checkPartialResponse(now);
+      if (connection.isIdle() && now.since(connection.lastUsedAt()).isLongerThan(idleTimeout)) {
+        connection.close();
+      }
+    }
+  }
+
   /** The connection that has been idle for longest; null where none is idle. */
   HostConnection longestIdle() {
     HostConnection longest = null;
--- /dev/null
+++ b/src/main/java/flintlead/platform/upstream/HostProofs.java
@@ -0,0 +1,189 @@
+package flintlead.platform.upstream;
+
+import flintlead.routing.guard.HostSendGuard;
+import flintlead.routing.guard.SendVerdict;
+import flintlead.scheduling.api.Outcome;
+import flintlead.scheduling.lease.HostLeases;
+import flintlead.scheduling.lease.HostProof;
+import flintlead.scheduling.lease.RefusalReason;
+import flintlead.time.Moment;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * The lease of one pool's host: tells {@link HostLeases} what the host's answers prove, and holds
+ * the requests that wait until a probe has renewed the lease. One probe at a time. Used on the
+ * event loop only.
+ */
+final class HostProofs {
+
+  private static final int TAG_RADIX = 36;
+
+  private final ConnectionPool pool;
+  private final long host;
+  private final HostSendGuard guard;
+  private final HostLeases leases;
+  private final Deque<Request> waiting = new ArrayDeque<>();
+  private Probe probe;
+
+  /** Makes the tags of probes differ from each other. */
+  private long probes;
+
+  HostProofs(ConnectionPool pool, long host, HostSendGuard guard) {
+    this.pool = pool;
+    this.host = host;
+    this.guard = guard;
+    this.leases = guard.leases();
+  }
+
+  // ---- what may leave ----
+
+  /** Whether new work may leave at that time. */
+  SendVerdict maySend(Moment clock) {
+    return guard.maySend(host, clock);
+  }
+
+  /** New work was handed to the kernel, at that time at the latest. */
+  void sent(String id, Moment clock) {
+    guard.sent(host, id, clock);
+  }
+
+  /** Whether what has left may still arrive: once the lease has ended it must not. */
+  boolean holds() {
+    return leases.holds(host, pool.now());
+  }
+
+  // ---- what answers prove ----
+
+  /** The host answered new work that was sent at that time. */
+  void answered(Outcome outcome, Moment sentAt) {
+    if (!pool.isActive()) {
+      return;
+    }
+    if (outcome == Outcome.OK) {
+      leases.proven(host, sentAt, HostProof.SERVED, pool.now());
+    } else if (outcome == Outcome.FULL) {
+      leases.turnedAway(host, pool.now());
+    }
+  }
+
+  /** No connection to the host could be opened. */
+  void unreachable() {
+    if (pool.isActive()) {
+      leases.unreachable(host, pool.now());
+    }
+  }
+
+  /**
+   * The last connection to the host broke. While the list can't tell of restarts the host is asked
+   * at once: a process that has ended refuses connections until its successor has started.
+   */
+  void lastConnectionBroke() {
+    if (pool.isActive() && probe == null && !leases.isListCurrent(pool.now())) {
+      beginProbe();
+    }
+  }
+
+  // ---- requests that wait for a proof ----
+
+  boolean isEmpty() {
+    return waiting.isEmpty() && probe == null;
+  }
+
+  int waiting() {
+    return waiting.size();
+  }
+
+  /** Holds the request until a probe has renewed the lease; it is ended where none can. */
+  void await(Request request) {
+    waiting.add(request);
+    if (probe == null) {
+      beginProbe();
+    }
+  }
+
+  boolean remove(Request request) {
+    return waiting.remove(request);
+  }
+
+  private void beginProbe() {
+    if (!leases.beginProbe(host, pool.now())) {
+      endWaiting(Outcome.UNPROVEN);
+      return;
+    }
+    Probe begun = new Probe("p" + Long.toString(probes++, TAG_RADIX));
+    probe = begun;
+    pool.loop().scheduleAfter(pool.limits().connectTimeout(), () -> timeOut(begun));
+    pool.run(begun);
+  }
+
+  private void timeOut(Probe late) {
+    if (!late.isOver()) {
+      pool.withdraw(late);
+      probeEnded(late, HostProof.PROBE_UNANSWERED, RefusalReason.PROBE_UNANSWERED);
+    }
+  }
+
+  private void probeEnded(Probe ended, HostProof result, RefusalReason reason) {
+    if (probe != ended) {
+      return;
+    }
+    probe = null;
+    leases.probeEnded(host, ended.askedAt(), result, pool.now());
+    if (result == HostProof.PROBE) {
+      pool.sendProven(takeWaiting());
+    } else {
+      leases.refused(reason);
+      boolean unreachable = reason == RefusalReason.UNREACHABLE;
+      endWaiting(unreachable ? Outcome.CONNECT_FAILED : Outcome.UNPROVEN);
+    }
+  }
+
+  private void endWaiting(Outcome outcome) {
+    takeWaiting().forEach(request -> pool.endLater(request, outcome));
+  }
+
+  /** Takes out all that wait, where the host no longer gets anything. */
+  List<Request> takeWaiting() {
+    List<Request> taken = List.copyOf(waiting);
+    waiting.clear();
+    return taken;
+  }
+
+  /** Asks whether the host is alive and takes new work. */
+  private final class Probe extends Request {
+
+    Probe(String tag) {
+      super(tag, null);
+    }
+
+    /** When it was sent; the present where it was not. */
+    Moment askedAt() {
+      return mayHaveLeft() ? sentAt() : pool.now();
+    }
+
+    @Override
+    protected void write(ByteBuf out) {
+      HostProtocol.writeAlivenessProbe(out, tag());
+    }
+
+    @Override
+    protected boolean isCancellable() {
+      return false;
+    }
+
+    @Override
+    protected void ended(Outcome outcome, ResponseFields fields, ByteBuf body) {
+      switch (outcome) {
+        case OK -> probeEnded(this, HostProof.PROBE, null);
+        case CONNECT_FAILED, RESET ->
+            probeEnded(this, HostProof.UNREACHABLE, RefusalReason.UNREACHABLE);
+        case CONNECTION_LOST, WITHDRAWN ->
+            probeEnded(this, HostProof.PROBE_UNANSWERED, RefusalReason.PROBE_UNANSWERED);
+        default -> probeEnded(this, HostProof.PROBE_DENIED, RefusalReason.PROBE_DENIED);
+      }
+    }
+  }
+}
--- a/src/main/java/flintlead/platform/upstream/HostProtocol.java
+++ b/src/main/java/flintlead/platform/upstream/HostProtocol.java
@@ -57,6 +57,11 @@
     writeLine(out, "busy " + tag);
   }
 
+  /** Appends the command that asks whether the host is alive and takes new work. */
+  static void writeAlivenessProbe(ByteBuf out, String tag) {
+    writeLine(out, "there " + tag);
+  }
+
   /** The command, without a response, that lets the host unload a function. */
   public static String retire(long function) {
     return "retire " + hex(function);
--- a/src/main/java/flintlead/platform/upstream/Request.java
+++ b/src/main/java/flintlead/platform/upstream/Request.java
@@ -66,6 +66,11 @@
     // Nothing is checked of a request that belongs to no client.
   }
 
+  /** Whether it brings the host new work, so that the host's lease must hold when it leaves. */
+  protected boolean isNewWork() {
+    return false;
+  }
+
   /** Whether the host is sent a cancellation when the request is withdrawn. */
   protected boolean isCancellable() {
     return true;
--- a/src/main/java/flintlead/routing/guard/Invariant.java
+++ b/src/main/java/flintlead/routing/guard/Invariant.java
@@ -12,6 +12,8 @@
   CLIENT_SEEN_BEFORE_ATTEMPT,
   /** No attempt is given more time than the client has left. */
   DEADLINE_NOT_EXTENDED,
+  /** New work leaves only for a host that the list or a proof of its own shows to take it. */
+  LEASE_BEFORE_NEW_WORK,
   /** An invocation is answered by its deadline, unless the process stood still. */
   ANSWER_IN_TIME,
   /** The gateway does not close a connection whose request has no answer. */
--- a/src/main/java/flintlead/scheduling/AttemptRules.java
+++ b/src/main/java/flintlead/scheduling/AttemptRules.java
@@ -1,8 +1,10 @@
 package flintlead.scheduling;
 
+import flintlead.scheduling.api.Outcome;
 import flintlead.scheduling.api.TriggerType;
 import flintlead.scheduling.api.TriggerType.Effect;
 import flintlead.scheduling.api.TriggerType.Group;
+import flintlead.scheduling.lease.SendPermission;
 import flintlead.scheduling.state.Attempt;
 import flintlead.scheduling.state.Host;
 import flintlead.scheduling.state.InvocationState;
@@ -42,8 +44,11 @@
     return Math.min(most, 1 + (int) Math.ceil((most - 1) * type.billedValue() / highest));
   }
 
+  /** An attempt that never left for want of a lease does not count: each host has one at most. */
   boolean attemptsExhausted(InvocationState invocation) {
-    return invocation.attempts.size() >= attemptLimits[invocation.spec.triggerType()];
+    long sent =
+        invocation.attempts.stream().filter(attempt -> attempt.outcome != Outcome.UNPROVEN).count();
+    return sent >= attemptLimits[invocation.spec.triggerType()];
   }
 
   /** Rule 2: whether another attempt of this invocation may go to that host now. */
@@ -61,11 +66,19 @@
     if (invocation.type.effect() == Effect.NON_IDEMPOTENT) {
       return false;
     }
+    // Behind an address whose connections broke may live a process of another group by now.
+    if (invocation.type.group() != Group.ALL && (isInDoubt(first.host) || isInDoubt(host))) {
+      return false;
+    }
     Moment windowEnd = first.sentAt.plus(invocation.type.window());
     return invocation.type.group().covers(first.host.entry, host.entry)
         && state.now().plus(margin).isBefore(windowEnd);
   }
 
+  private boolean isInDoubt(Host host) {
+    return !state.leases.isIdentityKnown(host.id(), state.now());
+  }
+
   /** Whether time is left for another attempt, and some host may take it. */
   boolean mayRetry(InvocationState invocation) {
     return !attemptsExhausted(invocation)
@@ -74,6 +87,11 @@
             .anyMatch(host -> acceptsNewWork(host) && mayAttempt(invocation, host));
   }
 
+  /** Whether any host may be sent new work. */
+  boolean anyHostAcceptsWork() {
+    return Arrays.stream(state.hosts.listed()).anyMatch(this::acceptsNewWork);
+  }
+
   /** Rule 2: whether the client may be told that a retry is harmless. */
   boolean mayReject(InvocationState invocation) {
     return switch (invocation.type.effect()) {
@@ -84,8 +102,12 @@
     };
   }
 
-  /** Rule 3: nothing new to a host that drains or is gone, once this gateway is notified. */
+  /**
+   * Rule 3: nothing new to a host that drains or is gone, once this gateway counts as notified. The
+   * list alone does not tell: it may be out of date.
+   */
   boolean acceptsNewWork(Host host) {
-    return host.isReady();
+    return host.isReady()
+        && state.leases.permission(host.id(), state.now()) != SendPermission.REFUSED;
   }
 }
--- a/src/main/java/flintlead/scheduling/CapacityLimits.java
+++ b/src/main/java/flintlead/scheduling/CapacityLimits.java
@@ -9,9 +9,9 @@
 import flintlead.scheduling.state.SchedulerState;
 import flintlead.scheduling.state.SlidingWindowCounter;
 import flintlead.scheduling.state.SpillBudget;
-import flintlead.scheduling.state.TokenBucket;
 import flintlead.time.Moment;
 import flintlead.time.Span;
+import flintlead.time.TokenBucket;
 
 /** Concurrency limits, the load limit, slow start (rule 4) and the rate of load orders (rule 5). */
 final class CapacityLimits {
@@ -154,7 +154,7 @@
 
   /** Counts an attempt against the budget of a host that is warming up. */
   void recordAttempt(Attempt attempt) {
-    if (attempt.host.isWarmingUp(state.now(), deployment.slowStartDuration())) {
+    if (isWarmingUp(attempt.host)) {
       attempt.host.slowStartTokens.spend();
     }
   }
@@ -166,11 +166,11 @@
    * from a random start, so that the sum over many gateways holds.
    */
   boolean slowStartAllows(Host host) {
-    if (!host.isWarmingUp(state.now(), deployment.slowStartDuration())) {
+    if (!isWarmingUp(host)) {
       return true;
     }
     Moment now = state.now();
-    double age = now.since(host.entry.startedAt()).over(deployment.slowStartDuration());
+    double age = now.since(startedAt(host)).over(deployment.slowStartDuration());
     double initial = deployment.slowStartFraction();
     double fraction = initial + (1 - initial) * Math.max(0, age);
     double each = answers.perSecond() / Math.max(1, state.hosts.listed().length);
@@ -179,6 +179,19 @@
     return host.slowStartTokens.refill(now, perSecond, Math.max(1, burst));
   }
 
+  private boolean isWarmingUp(Host host) {
+    Moment startedAt = startedAt(host);
+    return startedAt.micros() > 0
+        && state.now().since(startedAt).isShorterThan(deployment.slowStartDuration());
+  }
+
+  /**
+   * A process that came back behind a list that can't tell is taken to be as young as it may be.
+   */
+  private Moment startedAt(Host host) {
+    return Moment.later(host.entry.startedAt(), state.leases.presumedStart(host.id(), state.now()));
+  }
+
   void recordArrival(Moment now) {
     arrivals.add(now);
     arrivals.countSince(now.minus(deployment.loadOrderWindow()));
--- a/src/main/java/flintlead/scheduling/Placement.java
+++ b/src/main/java/flintlead/scheduling/Placement.java
@@ -64,8 +64,10 @@
 
   /**
    * Paper: the host believed warm and with capacity that has fewest own in flight, ties at random.
-   * Departure: of a function spread over several hosts each takes its part only, by chance, as one
-   * gateway sees too little traffic to fill a host and learn that another is needed.
+   * Departure: while the host list is out of date, hosts whose lease holds go before those that
+   * need a probe first. Departure: of a function spread over several hosts each takes its part
+   * only, by chance, as one gateway sees too little traffic to fill a host and learn that another
+   * is needed.
    */
   Host warmHost(InvocationState invocation) {
     Moment now = state.now();
@@ -81,7 +83,7 @@
         continue;
       }
       parts += part;
-      double difference = best == null ? -1 : compareLoad(host, best);
+      double difference = best == null ? -1 : compare(host, best);
       ties = difference < 0 ? 1 : ties + (difference == 0 ? 1 : 0);
       if (difference < 0 || difference == 0 && state.random.nextInt(ties) == 0) {
         best = host;
@@ -98,6 +100,13 @@
         && estimate.inFlight < invocation.slotsPerInstance * estimate.instances;
   }
 
+  /** Negative where the first host is the better one. */
+  private double compare(Host one, Host other) {
+    boolean proven = state.leases.holds(one.id(), state.now());
+    boolean otherProven = state.leases.holds(other.id(), state.now());
+    return proven == otherProven ? compareLoad(one, other) : proven ? -1 : 1;
+  }
+
   /** Departure: attempts in flight relative to the weight of the host, as weights differ. */
   private static double compareLoad(Host one, Host other) {
     return one.inFlight * other.entry.weight() - other.inFlight * one.entry.weight();
--- a/src/main/java/flintlead/scheduling/Scheduler.java
+++ b/src/main/java/flintlead/scheduling/Scheduler.java
@@ -29,6 +29,9 @@
   /** Retry-After of a rejected invocation. */
   private static final Span RETRY_AFTER = Span.ofMillis(150);
 
+  /** The same while no host may be sent anything: only news of the hosts changes that. */
+  private static final Span RETRY_AFTER_WITHOUT_HOSTS = Span.ofMillis(1_000);
+
   /** Bounds for a gateway that runs for months: functions and departed hosts remembered. */
   private static final int MAX_FUNCTIONS = 16_384;
 
@@ -225,7 +228,8 @@
     settle(invocation);
     if (harmless) {
       release.refundQuota(invocation);
-      context.throttle(invocation.id, deployment.boundRetryAfter(RETRY_AFTER));
+      Span retryAfter = rules.anyHostAcceptsWork() ? RETRY_AFTER : RETRY_AFTER_WITHOUT_HOSTS;
+      context.throttle(invocation.id, deployment.boundRetryAfter(retryAfter));
     } else {
       context.fail(invocation.id);
     }
--- a/src/main/java/flintlead/scheduling/api/Outcome.java
+++ b/src/main/java/flintlead/scheduling/api/Outcome.java
@@ -23,7 +23,9 @@
   /** The host does not hold the function. */
   MISS(false),
   /** The connection broke, but the host lives: it may have run, and the host may be tried again. */
-  CONNECTION_LOST(true);
+  CONNECTION_LOST(true),
+  /** Never sent: nothing has proven in time that the host takes new work. */
+  UNPROVEN(false);
 
   private final boolean mayHaveRun;
 
--- a/src/main/java/flintlead/scheduling/api/SchedulerContext.java
+++ b/src/main/java/flintlead/scheduling/api/SchedulerContext.java
@@ -1,5 +1,6 @@
 package flintlead.scheduling.api;
 
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 
@@ -63,6 +64,11 @@
    */
   Runnable schedule(Moment when, Runnable then);
 
+  /** The leases of the hosts; by default the host list is always current. */
+  default HostLeases leases() {
+    return HostLeases.ofAuthoritativeList();
+  }
+
   /** Writes a line to the gateway's log. */
   void log(String line);
 }
--- /dev/null
+++ b/src/main/java/flintlead/scheduling/lease/SendPermission.java
@@ -0,0 +1,11 @@
+package flintlead.scheduling.lease;
+
+/** Whether new work may be sent to a host. */
+public enum SendPermission {
+  /** The host's lease holds. */
+  GRANTED,
+  /** The lease has ended; a probe may renew it. */
+  AFTER_PROBE,
+  /** The lease has ended, and nothing can renew it now. */
+  REFUSED
+}
--- a/src/main/java/flintlead/scheduling/state/CustomerQuotas.java
+++ b/src/main/java/flintlead/scheduling/state/CustomerQuotas.java
@@ -2,6 +2,7 @@
 
 import flintlead.scheduling.api.Deployment;
 import flintlead.time.Moment;
+import flintlead.time.TokenBucket;
 import java.util.Arrays;
 
 /** The token bucket of each customer: this gateway's even part of what the customer may send. */
--- a/src/main/java/flintlead/scheduling/state/Host.java
+++ b/src/main/java/flintlead/scheduling/state/Host.java
@@ -2,7 +2,7 @@
 
 import flintlead.scheduling.api.HostEntry;
 import flintlead.time.Moment;
-import flintlead.time.Span;
+import flintlead.time.TokenBucket;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -59,12 +59,6 @@
     return listed && entry.state() == HostEntry.State.READY;
   }
 
-  /** Whether it started less than that long ago. */
-  public boolean isWarmingUp(Moment now, Span slowStart) {
-    Moment startedAt = entry.startedAt();
-    return startedAt.micros() > 0 && now.since(startedAt).isShorterThan(slowStart);
-  }
-
   /** Notes that it answered. */
   public void recordAnswer(Moment now) {
     lastAnswerAt = now;
--- a/src/main/java/flintlead/scheduling/state/SchedulerState.java
+++ b/src/main/java/flintlead/scheduling/state/SchedulerState.java
@@ -4,6 +4,7 @@
 import flintlead.scheduling.api.InvocationSpec;
 import flintlead.scheduling.api.SchedulerContext;
 import flintlead.scheduling.api.SchedulingPolicy.ObservationConsumer;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import java.util.Random;
 
@@ -17,6 +18,9 @@
   public final FunctionTable functions;
   public final LoadOrders loadOrders = new LoadOrders();
 
+  /** Whether new work may be sent to a host. */
+  public final HostLeases leases;
+
   /** Gateways that share the hosts, at least as many as configured. */
   public int gateways;
 
@@ -32,6 +36,7 @@
       int maxDeparted) {
     this.context = context;
     this.deployment = deployment;
+    this.leases = context.leases();
     this.random = new Random(seed);
     this.hosts = new HostTable(maxDeparted);
     this.functions = new FunctionTable(maxFunctions);
--- a/src/main/java/flintlead/scheduling/state/TokenBucket.java
+++ b/src/main/java/flintlead/time/TokenBucket.java
@@ -1,6 +1,4 @@
-package flintlead.scheduling.state;
-
-import flintlead.time.Moment;
+package flintlead.time;
 
 /** A token bucket: tokens come in at a rate, are saved up to a bound, and are spent one by one. */
 public final class TokenBucket {
--- a/src/test/java/flintlead/golden/JournalWireTest.java
+++ b/src/test/java/flintlead/golden/JournalWireTest.java
@@ -6,6 +6,7 @@
 import flintlead.platform.journal.JournalClient;
 import flintlead.platform.journal.JsonReader;
 import flintlead.scheduling.api.HostEntry;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.transport.loop.Address;
 import flintlead.transport.netty.NettyEventLoop;
@@ -93,6 +94,7 @@
               loop,
               loop,
               events,
+              HostLeases.ofAuthoritativeList(),
               new JsonReader(),
               new Random(3),
               () -> {},
--- a/src/test/java/flintlead/platform/EventRaceTest.java
+++ b/src/test/java/flintlead/platform/EventRaceTest.java
@@ -8,6 +8,7 @@
 import flintlead.platform.journal.HostEventProcessor;
 import flintlead.platform.journal.JournalClient;
 import flintlead.platform.journal.JsonReader;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.transport.loop.Address;
 import flintlead.transport.netty.NettyEventLoop;
@@ -182,6 +183,7 @@
             loop,
             loop,
             events,
+            HostLeases.ofAuthoritativeList(),
             new JsonReader(),
             new Random(1),
             () -> {},
--- a/src/test/java/flintlead/platform/upstream/ConnectionPoolTest.java
+++ b/src/test/java/flintlead/platform/upstream/ConnectionPoolTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import flintlead.routing.guard.HostSendGuard;
+import flintlead.routing.guard.InvariantMonitor;
 import flintlead.scheduling.api.Outcome;
 import flintlead.time.Moment;
 import flintlead.time.Span;
@@ -31,6 +33,7 @@
               100, 10, 1_000, Span.ofMillis(250), Span.ofMillis(15_000), Span.ofMillis(1_000)),
           transport,
           transport,
+          HostSendGuard.ofAuthoritativeList(new InvariantMonitor((invariant, id, detail) -> {})),
           NOPLogger.NOP_LOGGER);
 
   private ConnectionPool pool() {
