--- a/src/main/java/flintlead/testing/soak/Breach.java
+++ b/src/main/java/flintlead/testing/soak/Breach.java
@@ -18,6 +18,7 @@
     DEADLINE_NOT_EXTENDED,
     NO_SECOND_EFFECT,
     NOTHING_TO_DRAINING_HOST,
+    PROBES_BOUNDED,
     READY_IN_TIME,
     NO_CRASH,
     LIMITS_KEPT,
--- a/src/main/java/flintlead/testing/soak/FaultKind.java
+++ b/src/main/java/flintlead/testing/soak/FaultKind.java
@@ -28,12 +28,21 @@
   RESET(Target.HOST, 1, 1, 4),
   /** The host's answers are late by some milliseconds, and come in pieces. */
   PIECES(Target.HOST, 500, 3_000, 3),
-  /** The host drains, leaves the list, and returns as a new process. */
-  DRAIN(Target.HOST, 1_500, 4_000, 3),
+  /**
+   * The host drains, turning new work and probes away, then its process ends, and another one
+   * returns at its address.
+   */
+  DRAIN(Target.HOST, 1_500, 12_000, 4),
+  /** Connections to the host open, and its first bytes come late. */
+  LATE_OPEN(Target.HOST, 500, 3_000, 2),
   /** The journal's connections end, and no new one is accepted. */
   JOURNAL_GONE(Target.JOURNAL, 300, 4_000, 2),
   /** The journal is connected and says nothing. */
   JOURNAL_SILENT(Target.JOURNAL, 300, 3_000, 2),
+  /** The journal is gone for longer than silence counts as told. */
+  LONG_OUTAGE(Target.JOURNAL, 5_000, 30_000, 1),
+  /** The same, but it is connected and says nothing. */
+  LONG_SILENCE(Target.JOURNAL, 5_000, 30_000, 1),
   /** A crowd of clients comes to one gateway. */
   CROWD(Target.GATEWAY, 500, 2_000, 3),
   /** Other processes keep the cores busy. */
--- a/src/main/java/flintlead/testing/soak/SoakHost.java
+++ b/src/main/java/flintlead/testing/soak/SoakHost.java
@@ -27,8 +27,12 @@
   private final Random random;
   private final HostFaultState faults = new HostFaultState();
   private final Set<SoakHostConnection> connections = new LinkedHashSet<>();
-  private final Transport.ListeningSocket listening;
+  private final Address at;
   private final RepeatingTask checks;
+  private Transport.ListeningSocket listening;
+
+  /** Set and read by the driver's thread; the host's loop reads it. */
+  private volatile boolean draining;
 
   /** Listens at a port of its own; not to be called on the event loop. */
   SoakHost(int index, NettyEventLoop loop, SoakRecords records, long seed) throws IOException {
@@ -36,14 +40,8 @@
     this.loop = loop;
     this.records = records;
     this.random = new Random(seed);
-    this.listening =
-        loop.listen(
-            new Address.Tcp("127.0.0.1", 0),
-            stream -> {
-              SoakHostConnection connection = new SoakHostConnection(this, stream);
-              connections.add(connection);
-              return connection;
-            });
+    this.listening = listen(new Address.Tcp("127.0.0.1", 0));
+    this.at = listening.address();
     RepeatingTask[] started = {null};
     java.util.concurrent.CompletableFuture<Void> ready =
         new java.util.concurrent.CompletableFuture<>();
@@ -56,10 +54,49 @@
     this.checks = started[0];
   }
 
+  private Transport.ListeningSocket listen(Address address) throws IOException {
+    return loop.listen(
+        address,
+        stream -> {
+          SoakHostConnection connection = new SoakHostConnection(this, stream);
+          connections.add(connection);
+          return connection;
+        });
+  }
+
   int index() {
     return index;
   }
 
+  // ---- drains, by the driver's thread only ----
+
+  /** Turns new work and probes away from now on; false where it does so already. */
+  boolean beginDraining() {
+    boolean begins = !draining;
+    draining = true;
+    return begins;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  /** Its process ends: connections are reset, and new ones refused. */
+  void endProcess() {
+    Transport.ListeningSocket ending = listening;
+    loop.execute(
+        () -> {
+          ending.close();
+          List.copyOf(connections).forEach(connection -> connection.stream().abort());
+        });
+  }
+
+  /** Another process starts at its address, and takes new work. */
+  void startProcess() throws IOException {
+    listening = listen(at);
+    draining = false;
+  }
+
   NettyEventLoop loop() {
     return loop;
   }
@@ -82,8 +119,8 @@
 
   /** Where it listens, as the journal writes it; may be called by any thread. */
   String address() {
-    Address.Tcp at = (Address.Tcp) listening.address();
-    return at.host() + ":" + at.port();
+    Address.Tcp tcp = (Address.Tcp) at;
+    return tcp.host() + ":" + tcp.port();
   }
 
   /** Begins a fault; from any thread. */
@@ -100,7 +137,7 @@
   /** Delivers what a cut has held, and closes idle connections where that is its fault. */
   private void check() {
     for (SoakHostConnection connection : List.copyOf(connections)) {
-      if (!has(FaultKind.CUT)) {
+      if (!has(FaultKind.CUT) && !connection.isLateToOpen()) {
         connection.deliverHeld();
       }
       if (has(FaultKind.CLOSE_IDLE)
--- a/src/main/java/flintlead/testing/soak/SoakHostConnection.java
+++ b/src/main/java/flintlead/testing/soak/SoakHostConnection.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** One gateway's connection to a {@link SoakHost}: parses commands, and answers or misbehaves. */
 final class SoakHostConnection implements StreamListener {
@@ -20,6 +21,7 @@
   private static final int WORK_MILLIS = 60;
   private static final int MAX_IN_FLIGHT = 200;
   private static final int SECOND_ANSWER_MILLIS = 4;
+  private static final long LATE_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
   private static final double SPOILT_CHANCE = 0.2;
   private static final double FULL_CHANCE = 0.02;
   private static final double MISS_CHANCE = 0.01;
@@ -32,6 +34,7 @@
   private final List<byte[]> heldAnswers = new ArrayList<>();
   private final StringBuilder input = new StringBuilder();
   private final Set<String> inFlight = new HashSet<>();
+  private final long openedNanos = System.nanoTime();
   private long inputReceivedNanos;
   private boolean closed;
 
@@ -48,6 +51,11 @@
     return inFlight.isEmpty() && input.length() == 0 && held.isEmpty();
   }
 
+  /** Whether its first bytes are still held, as those of a connection that comes up late. */
+  boolean isLateToOpen() {
+    return host.has(FaultKind.LATE_OPEN) && System.nanoTime() - openedNanos < LATE_OPEN_NANOS;
+  }
+
   // ---- bytes ----
 
   @Override
@@ -55,7 +63,7 @@
     byte[] copy = new byte[bytes.readableBytes()];
     bytes.readBytes(copy);
     Held arrived = new Held(copy, System.nanoTime());
-    if (host.has(FaultKind.CUT) || !held.isEmpty()) {
+    if (isLateToOpen() || host.has(FaultKind.CUT) || !held.isEmpty()) {
       held.add(arrived);
     } else {
       deliver(arrived);
@@ -119,8 +127,12 @@
     switch (words[0]) {
       case "fire" -> invoke(words[1], words[2], body);
       case "never_mind" -> inFlight.remove(words[1]);
-      case "there", "busy" -> answer(words[1], "alive", "");
-      case "provision" -> answer(words[1], "200", "");
+      case "there", "busy" -> {
+        host.records().probes.add(
+            new SoakRecords.Probe(host.index(), TimeUnit.NANOSECONDS.toSeconds(System.nanoTime())));
+        answer(words[1], host.isDraining() ? "dead" : "alive", "");
+      }
+      case "provision" -> answer(words[1], host.isDraining() ? "503" : "200", "");
       default -> {
         // Nothing is answered to the others.
       }
@@ -148,7 +160,7 @@
       return;
     }
     double chance = host.random().nextDouble();
-    if (inFlight.size() >= MAX_IN_FLIGHT || chance < FULL_CHANCE) {
+    if (host.isDraining() || inFlight.size() >= MAX_IN_FLIGHT || chance < FULL_CHANCE) {
       refuse(id, "503", now);
     } else if (chance < FULL_CHANCE + MISS_CHANCE) {
       refuse(id, "404", now);
--- a/src/main/java/flintlead/testing/soak/SoakJournal.java
+++ b/src/main/java/flintlead/testing/soak/SoakJournal.java
@@ -74,7 +74,7 @@
   void beGone(long millis) {
     loop.execute(
         () -> {
-          goneUntilNanos = System.nanoTime() + millis * 1_000_000;
+          goneUntilNanos = Math.max(goneUntilNanos, System.nanoTime() + millis * 1_000_000);
           List.copyOf(watches).forEach(watch -> watch.stream.abort());
         });
   }
@@ -83,14 +83,14 @@
   void beSilent(long millis) {
     loop.execute(
         () -> {
-          silentUntilNanos = System.nanoTime() + millis * 1_000_000;
+          silentUntilNanos = Math.max(silentUntilNanos, System.nanoTime() + millis * 1_000_000);
           loop.scheduleAfter(Span.ofMillis(millis + 1), () -> watches.forEach(Watch::sendEvents));
         });
   }
 
   private void sendLastNumber() {
     if (!isSilent()) {
-      watches.forEach(watch -> watch.write(events.size() + "\n"));
+      watches.forEach(watch -> watch.write("{\"pos\":" + events.size() + "}\n"));
     }
   }
 
--- a/src/main/java/flintlead/testing/soak/SoakOracle.java
+++ b/src/main/java/flintlead/testing/soak/SoakOracle.java
@@ -39,6 +39,11 @@
   /** What the journal can't tell counts as told after this long. */
   private static final long JOURNAL_GRACE = 4_000 * MILLIS;
 
+  /** Probes that a host may get in a second, beside what each gateway has saved up. */
+  private static final int PROBES_PER_SECOND = 24;
+
+  private static final int PROBES_SAVED_UP = 2;
+
   /** What a gateway reports of an attempt that left later than it was checked. */
   private static final Pattern OVERTAKEN_REPORT =
       Pattern.compile("client_seen_before_attempt|deadline_not_extended|no_attempt_after_end");
@@ -79,6 +84,7 @@
     }
     records.gatewayEvents.forEach(this::judgeGateway);
     records.drains.forEach(this::judgeDrain);
+    judgeProbes();
     return breaches;
   }
 
@@ -248,16 +254,16 @@
   private void judgeDrain(SoakRecords.Drain drain) {
     long told = drain.toldNanos();
     for (SoakRecords.JournalOutage outage : records.journalOutages) {
-      if (outage.startNanos() <= told + JOURNAL_GRACE && outage.endNanos() >= told) {
-        told = Math.max(told, Math.min(outage.endNanos(), drain.toldNanos() + JOURNAL_GRACE));
+      if (outage.startNanos() <= drain.toldNanos() && outage.endNanos() >= drain.toldNanos()) {
+        told = Math.max(told, outage.startNanos() + JOURNAL_GRACE);
       }
     }
     long from = told + drainGraceNanos + ATTEMPT_SLACK + RIG_SLACK;
     for (HostAttemptRecord attempt : records.attempts) {
       if (attempt.host() == drain.host()
-          && attempt.atNanos() > from
-          && attempt.atNanos() < drain.untilNanos()) {
-        long late = (attempt.atNanos() - told) / MILLIS;
+          && attempt.sentNanos() > from
+          && attempt.sentNanos() < drain.untilNanos()) {
+        long late = (attempt.sentNanos() - told) / MILLIS;
         breaches.add(
             new Breach(
                 Invariant.NOTHING_TO_DRAINING_HOST,
@@ -271,6 +277,21 @@
     }
   }
 
+  /** All gateways together: what each has saved up, and their common rate. */
+  private void judgeProbes() {
+    int most = PROBES_SAVED_UP * plan.gateways() + PROBES_PER_SECOND;
+    Map<SoakRecords.Probe, Integer> perSecond = new HashMap<>();
+    records.probes.forEach(probe -> perSecond.merge(probe, 1, Integer::sum));
+    perSecond.forEach(
+        (probe, count) -> {
+          if (count > most) {
+            String subject = "host " + probe.host();
+            breaches.add(
+                new Breach(Invariant.PROBES_BOUNDED, subject, count + " probes in a second"));
+          }
+        });
+  }
+
   private void judgeGateway(GatewayEvent event) {
     Invariant invariant =
         switch (event.kind()) {
--- a/src/main/java/flintlead/testing/soak/SoakRecords.java
+++ b/src/main/java/flintlead/testing/soak/SoakRecords.java
@@ -14,6 +14,9 @@
    */
   record Drain(int host, long toldNanos, long untilNanos) {}
 
+  /** A host got a probe in that second of the rig's clock. */
+  record Probe(int host, long second) {}
+
   /** The journal could not be heard from the first time to the second. */
   record JournalOutage(long startNanos, long endNanos) {}
 
@@ -21,6 +24,7 @@
   final Queue<HostAttemptRecord> attempts = new ConcurrentLinkedQueue<>();
   final Queue<GatewayEvent> gatewayEvents = new ConcurrentLinkedQueue<>();
   final Queue<Drain> drains = new ConcurrentLinkedQueue<>();
+  final Queue<Probe> probes = new ConcurrentLinkedQueue<>();
   final Queue<JournalOutage> journalOutages = new ConcurrentLinkedQueue<>();
 
   /** Attempts that a host answered with a proof that they did not run, by id and host. */
--- a/src/main/java/flintlead/testing/soak/SoakRun.java
+++ b/src/main/java/flintlead/testing/soak/SoakRun.java
@@ -287,13 +287,23 @@
       host.begin(fault.kind(), fault.lengthMillis());
       return;
     }
+    if (!host.beginDraining()) {
+      return;
+    }
     long told = System.nanoTime();
+    long until = told + fault.lengthMillis() * MILLIS;
+    records.drains.add(new SoakRecords.Drain(host.index(), told, until));
     tell(host, "leaving", 0);
-    after(fault.lengthMillis() / 2, () -> tell(host, "left", 0));
     after(
-        fault.lengthMillis(),
+        fault.lengthMillis() / 2,
+        () -> {
+          host.endProcess();
+          tell(host, "left", 0);
+        });
+    at(
+        until,
         () -> {
-          records.drains.add(new SoakRecords.Drain(host.index(), told, System.nanoTime()));
+          host.startProcess();
           tell(host, "active", System.currentTimeMillis());
         });
   }
@@ -307,7 +317,7 @@
     long now = System.nanoTime();
     records.journalOutages.add(
         new SoakRecords.JournalOutage(now, now + fault.lengthMillis() * MILLIS));
-    if (fault.kind() == FaultKind.JOURNAL_GONE) {
+    if (fault.kind() == FaultKind.JOURNAL_GONE || fault.kind() == FaultKind.LONG_OUTAGE) {
       journal.beGone(fault.lengthMillis());
     } else {
       journal.beSilent(fault.lengthMillis());
--- /dev/null
+++ b/src/test/java/flintlead/bench/LeaseCost.java
@@ -0,0 +1,141 @@
+package flintlead.bench;
+
+import flintlead.scheduling.lease.HostLeases;
+import flintlead.scheduling.lease.HostProof;
+import flintlead.scheduling.lease.LeaseListener;
+import flintlead.scheduling.lease.LeaseTerms;
+import flintlead.scheduling.lease.SendPermission;
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.Locale;
+import java.util.Random;
+
+/**
+ * What leases cost in an outage of discovery: a model of a fleet with real leases and no network.
+ * Each request has a function that some hosts hold; a host whose lease holds goes before one that
+ * needs a probe. Run by hand: gateways, hosts, requests a second of all, drained hosts.
+ */
+final class LeaseCost {
+
+  private static final int SECONDS = 30;
+  private static final int FUNCTIONS = 400;
+  private static final int COPIES = 3;
+  private static final double ANSWER_MILLIS = 120;
+
+  private final int hosts;
+  private final int drained;
+  private final Random random = new Random(5);
+  private final int[][] probes;
+  private int requests;
+  private int sentAtOnce;
+  private int sentAfterProbe;
+  private int denied;
+  private int elsewhere;
+
+  private LeaseCost(int hosts, int drained) {
+    this.hosts = hosts;
+    this.drained = drained;
+    this.probes = new int[hosts][SECONDS];
+  }
+
+  /** Plays and prints one line. */
+  public static void main(String[] args) {
+    int gateways = Integer.parseInt(args[0]);
+    int hosts = Integer.parseInt(args[1]);
+    double rate = Double.parseDouble(args[2]);
+    new LeaseCost(hosts, Integer.parseInt(args[3])).play(gateways, rate);
+  }
+
+  private void play(int gateways, double perSecond) {
+    LeaseTerms terms = new LeaseTerms(Span.ofMillis(1_000), true, gateways);
+    for (int gateway = 0; gateway < gateways; gateway++) {
+      HostLeases leases = new HostLeases(terms, LeaseListener.NONE);
+      double millis = 0;
+      while (millis < SECONDS * 1_000) {
+        millis += -Math.log(1 - random.nextDouble()) * 1_000 * gateways / perSecond;
+        if (millis < SECONDS * 1_000) {
+          request(leases, millis);
+        }
+      }
+    }
+    print(gateways, perSecond);
+  }
+
+  private static Moment at(double millis) {
+    return Moment.START.plus(Span.ofMillis(millis + 1_000));
+  }
+
+  /** The more popular functions have lower numbers. */
+  private int drawFunction() {
+    return (int) (FUNCTIONS * Math.pow(random.nextDouble(), 3));
+  }
+
+  private void request(HostLeases leases, double millis) {
+    requests++;
+    int function = drawFunction();
+    Random walk = new Random(function * 31L);
+    int[] order = walk.ints(0, hosts).distinct().limit(hosts).toArray();
+    for (int i = 0; i < COPIES; i++) {
+      if (leases.permission(order[i], at(millis)) == SendPermission.GRANTED) {
+        sentAtOnce++;
+        serve(leases, order[i], millis);
+        return;
+      }
+    }
+    for (int i = 0; i < hosts; i++) {
+      if (leases.permission(order[i], at(millis)) != SendPermission.REFUSED
+          && proves(leases, order[i], millis)) {
+        elsewhere += i < COPIES ? 0 : 1;
+        sentAfterProbe++;
+        serve(leases, order[i], millis);
+        return;
+      }
+    }
+  }
+
+  private boolean proves(HostLeases leases, int host, double millis) {
+    if (leases.holds(host, at(millis))) {
+      return true;
+    }
+    if (!leases.beginProbe(host, at(millis))) {
+      return false;
+    }
+    probes[host][(int) (millis / 1_000)]++;
+    boolean ready = host >= drained;
+    denied += ready ? 0 : 1;
+    HostProof result = ready ? HostProof.PROBE : HostProof.PROBE_DENIED;
+    leases.probeEnded(host, at(millis), result, at(millis));
+    return ready;
+  }
+
+  /** Served work renews; that it is known a little later changes little here. */
+  private static void serve(HostLeases leases, int host, double millis) {
+    leases.proven(host, at(millis), HostProof.SERVED, at(millis + ANSWER_MILLIS));
+  }
+
+  private void print(int gateways, double perSecond) {
+    int total = 0;
+    int most = 0;
+    for (int[] ofHost : probes) {
+      for (int count : ofHost) {
+        total += count;
+        most = Math.max(most, count);
+      }
+    }
+    System.out.printf(
+        Locale.ROOT,
+        "%d gateways, %d hosts, %.0f/s, %d drain: served %.4f, after a probe %.3f, loaded elsewhere"
+            + " %.4f, probes a request %.3f, a host and second %.2f mean %d most, denied %.4f%n",
+        gateways,
+        hosts,
+        perSecond,
+        drained,
+        (sentAtOnce + sentAfterProbe) / (double) requests,
+        sentAfterProbe / (double) requests,
+        elsewhere / (double) requests,
+        total / (double) requests,
+        total / (double) hosts / SECONDS,
+        most,
+        denied / (double) requests);
+  }
+}
--- /dev/null
+++ b/src/test/java/flintlead/platform/journal/HeartbeatAgeTest.java
@@ -0,0 +1,51 @@
+package flintlead.platform.journal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import org.junit.jupiter.api.Test;
+
+/** How old a heartbeat may be when it arrives. */
+class HeartbeatAgeTest {
+
+  private static Moment at(double millis) {
+    return new Moment(10_000_000).plus(Span.ofMillis(millis));
+  }
+
+  @Test
+  void theFirstMayBeAsOldAsTheQuestion() {
+    assertEquals(at(0), new HeartbeatAge(at(0)).earliestWriting(at(900)));
+  }
+
+  /** A service whose second is a little longer is not taken for a slow one as time goes by. */
+  @Test
+  void heartbeatsInTimeAreYoungHoweverLongTheConnectionLasts() {
+    HeartbeatAge ages = new HeartbeatAge(at(0));
+    for (int i = 1; i < 10_000; i++) {
+      Moment arrived = at(i * 1_010);
+      Span age = arrived.since(ages.earliestWriting(arrived));
+      assertTrue(age.isShorterThan(Span.ofMillis(1_011)), "heartbeat " + i);
+    }
+  }
+
+  @Test
+  void heartbeatsThatComeLaterAndLaterAreOld() {
+    HeartbeatAge ages = new HeartbeatAge(at(0));
+    Moment written = null;
+    for (int i = 1; i <= 10; i++) {
+      written = ages.earliestWriting(at(i * 1_500));
+    }
+    assertEquals(at(9 * 1_050), written, "the tenth arrives after 15 s");
+  }
+
+  @Test
+  void aBurstOfHeartbeatsIsNoYoungerThanItsArrival() {
+    HeartbeatAge ages = new HeartbeatAge(at(0));
+    for (int i = 0; i < 5; i++) {
+      ages.earliestWriting(at(1_000));
+    }
+    assertEquals(at(1_000), ages.earliestWriting(at(1_000)));
+  }
+}
--- /dev/null
+++ b/src/test/java/flintlead/scheduling/lease/HostLeasesTest.java
@@ -0,0 +1,227 @@
+package flintlead.scheduling.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import flintlead.time.Moment;
+import flintlead.time.Span;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** When the right to send new work to a host ends, and what renews it. */
+class HostLeasesTest {
+
+  private static final long HOST = 7;
+  private static final int GRACE_MILLIS = 1_000;
+
+  private final List<String> reported = new ArrayList<>();
+  private HostLeases leases = leases(true, 1);
+
+  private HostLeases leases(boolean probes, int gateways) {
+    LeaseTerms terms = new LeaseTerms(Span.ofMillis(GRACE_MILLIS), probes, gateways);
+    return new HostLeases(
+        terms,
+        new LeaseListener() {
+          @Override
+          public void listStale(Span age) {
+            reported.add("stale " + age.micros() / 1_000);
+          }
+
+          @Override
+          public void listCurrent(Span staleFor) {
+            reported.add("current " + staleFor.micros() / 1_000);
+          }
+
+          @Override
+          public void hostChanged(long host, boolean usable, HostProof by) {
+            reported.add(host + (usable ? " usable by " : " unusable by ") + by.key());
+          }
+        });
+  }
+
+  private static Moment at(double millis) {
+    return new Moment(10_000_000).plus(Span.ofMillis(millis));
+  }
+
+  private SendPermission permission(double millis) {
+    return leases.permission(HOST, at(millis));
+  }
+
+  private void probe(double askedMillis, HostProof result, double endedMillis) {
+    assertTrue(leases.beginProbe(HOST, at(askedMillis)));
+    leases.probeEnded(HOST, at(askedMillis), result, at(endedMillis));
+  }
+
+  @Test
+  void aConfirmedListRenewsAllUntilSilenceCountsAsToldAndAPartOfTheGrace() {
+    leases.listConfirmed(at(0));
+    assertEquals(SendPermission.GRANTED, permission(4_799));
+    assertEquals(SendPermission.AFTER_PROBE, permission(4_800));
+    leases.listConfirmed(at(4_900));
+    assertEquals(SendPermission.GRANTED, permission(9_699));
+  }
+
+  @Test
+  void aBrokenConnectionToDiscoveryEndsThemSooner() {
+    leases.listConfirmed(at(0));
+    leases.listBroken(at(500));
+    leases.listBroken(at(900));
+    assertEquals(SendPermission.GRANTED, permission(3_299));
+    assertEquals(SendPermission.AFTER_PROBE, permission(3_300));
+    leases.listConfirmed(at(400));
+    assertEquals(SendPermission.AFTER_PROBE, permission(3_300), "older than the break");
+    leases.listConfirmed(at(3_300));
+    assertEquals(SendPermission.GRANTED, permission(3_301));
+  }
+
+  @Test
+  void aListThatNobodyHasConfirmedRenewsNothing() {
+    leases.listBroken(at(0));
+    assertEquals(SendPermission.AFTER_PROBE, permission(0));
+  }
+
+  @Test
+  void aProofCountsFromWhenItWasAskedFor() {
+    probe(0, HostProof.PROBE, 300);
+    assertEquals(SendPermission.GRANTED, permission(799));
+    assertEquals(SendPermission.AFTER_PROBE, permission(800));
+    leases.proven(HOST, at(790), HostProof.SERVED, at(1_500));
+    assertEquals(SendPermission.GRANTED, permission(1_589));
+    leases.proven(HOST, at(100), HostProof.SERVED, at(1_550));
+    assertEquals(SendPermission.GRANTED, permission(1_589), "an older proof shortens nothing");
+    assertEquals(SendPermission.AFTER_PROBE, permission(1_590));
+  }
+
+  @Test
+  void aHostThatDeniesItIsProbedAgainAfterPausesThatGrow() {
+    probe(0, HostProof.PROBE_DENIED, 0);
+    assertEquals(SendPermission.REFUSED, permission(399));
+    assertFalse(leases.beginProbe(HOST, at(399)));
+    probe(400, HostProof.PROBE_UNANSWERED, 400);
+    assertEquals(SendPermission.REFUSED, permission(1_199));
+    probe(1_200, HostProof.PROBE, 1_200);
+    assertEquals(SendPermission.GRANTED, permission(1_201));
+    assertEquals(Map.of(RefusalReason.PROBE_DENIED, 1), leases.takeRefusals());
+    assertEquals(Map.of(), leases.takeRefusals());
+  }
+
+  @Test
+  void whoWaitsForAProbeThatIsOutWaitsOn() {
+    assertTrue(leases.beginProbe(HOST, at(0)));
+    assertEquals(SendPermission.AFTER_PROBE, permission(100));
+  }
+
+  @Test
+  void aHostThatTurnsWorkAwayHasToProveItself() {
+    probe(0, HostProof.PROBE, 1);
+    leases.turnedAway(HOST, at(100));
+    assertEquals(SendPermission.AFTER_PROBE, permission(100));
+  }
+
+  @Test
+  void withoutProbesOnlyServedWorkRenews() {
+    leases = leases(false, 1);
+    assertEquals(SendPermission.REFUSED, permission(0));
+    leases.proven(HOST, at(0), HostProof.SERVED, at(50));
+    assertEquals(SendPermission.GRANTED, permission(799));
+    assertEquals(SendPermission.REFUSED, permission(800));
+  }
+
+  @Test
+  void theProbesOfAllGatewaysToOneHostAreBounded() {
+    leases = leases(true, 100);
+    int sent = 0;
+    for (int millis = 0; millis < 60_000; millis += 10) {
+      if (leases.permission(HOST, at(millis)) == SendPermission.AFTER_PROBE) {
+        probe(millis, HostProof.PROBE, millis);
+        sent++;
+      }
+    }
+    assertTrue(sent <= 2 + 60 * 0.12 + 1, () -> "probes of one of a hundred gateways in a minute");
+    assertTrue(sent >= 8, "and not none");
+  }
+
+  @Test
+  void aHostThatCouldNotBeReachedIsAnotherProcessUntilTheListSaysMore() {
+    leases.listConfirmed(at(0));
+    probe(4_900, HostProof.PROBE, 4_901);
+    leases.unreachable(HOST, at(5_000));
+    assertEquals(SendPermission.AFTER_PROBE, permission(5_000));
+    leases.proven(HOST, at(4_990), HostProof.SERVED, at(5_010));
+    assertEquals(SendPermission.AFTER_PROBE, permission(5_011), "asked before");
+    assertEquals(at(5_500), leases.presumedStart(HOST, at(5_500)), "as young as it may be");
+    probe(6_000, HostProof.PROBE, 6_001);
+    assertEquals(at(6_000), leases.presumedStart(HOST, at(9_000)));
+    assertFalse(leases.isIdentityKnown(HOST, at(9_000)));
+    leases.listConfirmed(at(9_000));
+    assertEquals(Moment.START, leases.presumedStart(HOST, at(9_001)));
+    assertTrue(leases.isIdentityKnown(HOST, at(9_001)));
+  }
+
+  @Test
+  void aProcessThatTheListCallsNewHasNoPast() {
+    probe(0, HostProof.PROBE, 1);
+    leases.forget(HOST);
+    assertEquals(SendPermission.AFTER_PROBE, permission(2));
+  }
+
+  @Test
+  void changesAreReportedOnce() {
+    leases.checkList(at(0));
+    leases.checkList(at(1_900));
+    leases.checkList(at(2_100));
+    leases.checkList(at(2_200));
+    probe(2_300, HostProof.PROBE, 2_300);
+    probe(3_200, HostProof.PROBE_DENIED, 3_200);
+    leases.turnedAway(HOST, at(3_300));
+    probe(3_700, HostProof.PROBE, 3_700);
+    leases.listConfirmed(at(3_800));
+    leases.checkList(at(3_900));
+    assertEquals(
+        List.of(
+            "stale 2100", "7 unusable by probe_denied", "7 usable by probe", "current 1800"),
+        reported);
+  }
+
+  /**
+   * Whatever is asked and answered: no permission later than the grace after the drain counts as
+   * told.
+   */
+  @Property(tries = 500)
+  void noPermissionOutlivesTheGraceOfADrain(@ForAll long seed) {
+    Random random = new Random(seed);
+    leases = leases(random.nextInt(4) > 0, 1 + random.nextInt(5));
+    double outage = 2_000 + random.nextInt(3_000);
+    boolean breaks = random.nextBoolean();
+    double drain = random.nextInt(15_000);
+    double told = Math.max(drain, outage + 4_000);
+    for (double now = 0; now < 20_000; now += 1 + random.nextInt(60)) {
+      if (now < outage) {
+        leases.listConfirmed(at(now - random.nextInt(500)));
+      } else if (breaks) {
+        leases.listBroken(at(now));
+      }
+      SendPermission permission = permission(now);
+      assertTrue(
+          permission != SendPermission.GRANTED || now < told + GRACE_MILLIS,
+          "granted at " + now + ", told at " + told);
+      double asked = now - random.nextInt(700);
+      boolean ready = asked < drain;
+      if (permission == SendPermission.AFTER_PROBE && random.nextBoolean()) {
+        probe(now, now < drain ? HostProof.PROBE : HostProof.PROBE_DENIED, now);
+      } else if (ready && random.nextInt(8) == 0) {
+        leases.proven(HOST, at(asked), HostProof.SERVED, at(now));
+      } else if (!ready && random.nextBoolean()) {
+        leases.turnedAway(HOST, at(now));
+      } else if (random.nextInt(40) == 0) {
+        leases.unreachable(HOST, at(now));
+      }
+    }
+  }
+}
--- a/src/test/java/flintlead/testing/soak/SoakOracleTest.java
+++ b/src/test/java/flintlead/testing/soak/SoakOracleTest.java
@@ -250,6 +250,35 @@
     expect();
   }
 
+  /** Told 4 s after the outage began at the latest, also while it lasts. */
+  @Test
+  void anAttemptAtAHostThatDrainsDuringALongOutageIsFound() {
+    served(TriggerKind.CHECK, 300);
+    attempt(TriggerKind.CHECK, 0, 195, 200, 200);
+    records.drains.add(new SoakRecords.Drain(0, at(-1_000), at(5_000)));
+    records.journalOutages.add(new SoakRecords.JournalOutage(at(-10_000), at(9_000)));
+    expect(Invariant.NOTHING_TO_DRAINING_HOST);
+    records.journalOutages.clear();
+    records.drains.clear();
+    records.drains.add(new SoakRecords.Drain(0, at(-7_000), at(5_000)));
+    records.journalOutages.add(new SoakRecords.JournalOutage(at(-7_500), at(9_000)));
+    expect(Invariant.NOTHING_TO_DRAINING_HOST);
+    records.journalOutages.clear();
+    records.journalOutages.add(new SoakRecords.JournalOutage(at(-7_010), at(9_000)));
+    records.attempts.clear();
+    attempt(TriggerKind.CHECK, 0, 195, -2_100, -2_100);
+    records.requests.clear();
+    expect();
+  }
+
+  @Test
+  void aHostThatGetsTooManyProbesIsFound() {
+    for (int i = 0; i < 100; i++) {
+      records.probes.add(new SoakRecords.Probe(3, 5));
+    }
+    expect(Invariant.PROBES_BOUNDED);
+  }
+
   @Test
   void whatAGatewayDoesWrongIsFound() {
     event(GatewayEvent.Kind.CRASHED, 1, 1);
