--- a/src/main/java/flintlead/testing/soak/SoakConfiguration.java
+++ b/src/main/java/flintlead/testing/soak/SoakConfiguration.java
@@ -13,6 +13,9 @@
   static final int DESCRIPTORS = 320;
   private static final int MICROS = 1_000;
 
+  /** Of so many seeds one forbids probes. */
+  private static final int SEEDS_PER_WITHOUT_PROBES = 5;
+
   private SoakConfiguration() {}
 
   /**
@@ -28,7 +31,7 @@
     "settings":{"dcs":["z"],"kinds":["k"],"index":%d,"group_size":%d,"tick":1000,
     "extra":{"when_absent":"load","idle_life":4000000,"load_wait":4000000,"loads_within":5000000,
     "free_loads":2,"load_share":0.3},"feedback":{"names":["waiting"]},
-    "limits":{"attempts_cap":3,"cancel":true,"conn_idle":4000000,"dial_timeout":250000,
+    "limits":{"attempts_cap":3,"cancel":true,"probes":%b,"conn_idle":4000000,"dial_timeout":250000,
     "max_streams":100,"retry_after":true,"max_retry_after":500000},
     "rules":{"answer_slack":5000,"drain_grace":%d,"warm_after":1000000,"cold_from":0.3,
     "fall_multiple":2.5,"overload_for":3000000},
@@ -44,6 +47,7 @@
             knownEvent,
             gateway,
             plan.gateways(),
+            plan.seed() % SEEDS_PER_WITHOUT_PROBES != 0,
             DRAIN_GRACE_MILLIS * MICROS,
             services(plan));
   }
--- a/src/main/java/flintlead/testing/soak/SoakHostConnection.java
+++ b/src/main/java/flintlead/testing/soak/SoakHostConnection.java
@@ -128,8 +128,11 @@
       case "fire" -> invoke(words[1], words[2], body);
       case "never_mind" -> inFlight.remove(words[1]);
       case "there", "busy" -> {
-        host.records().probes.add(
-            new SoakRecords.Probe(host.index(), TimeUnit.NANOSECONDS.toSeconds(System.nanoTime())));
+        host.records()
+            .probes
+            .add(
+                new SoakRecords.Probe(
+                    host.index(), TimeUnit.NANOSECONDS.toSeconds(System.nanoTime())));
         answer(words[1], host.isDraining() ? "dead" : "alive", "");
       }
       case "provision" -> answer(words[1], host.isDraining() ? "503" : "200", "");
--- a/src/test/java/flintlead/scheduling/lease/HostLeasesTest.java
+++ b/src/test/java/flintlead/scheduling/lease/HostLeasesTest.java
@@ -184,8 +184,7 @@
     leases.listConfirmed(at(3_800));
     leases.checkList(at(3_900));
     assertEquals(
-        List.of(
-            "stale 2100", "7 unusable by probe_denied", "7 usable by probe", "current 1800"),
+        List.of("stale 2100", "7 unusable by probe_denied", "7 usable by probe", "current 1800"),
         reported);
   }
 
