Leases in the library's gateway, which follows a registry that may go out of reach

Need: the same class of fault in the gateway beside it. The registry's watcher says when all that it has was applied and when a watch ended; the library's host links ask the same guard, hold requests until a probe is answered, and hosts that drain refuse probes. Hosts that the configuration or the embedding program gives stay current. The platform's log of leases is the library's. Soak: reports of a lease that a standstill has overtaken count as that attempt, and bytes as old as the rig's own last look at its sockets; a drain's breach shows the request.

--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -86,6 +86,9 @@
             .admissionLimits(config.admission())
             .upstreamLimits(config.hostLimits())
             .runOn(loop);
+    if (config.registry() != null) {
+      builder.hostsFromRegistry(config.registry().watchIdleTimeout());
+    }
     Flintlead gateway = (config.peers() == null ? builder : builder.withPeers()).start();
     Daemon daemon = new Daemon(config, gateway, loop);
     try {
@@ -147,7 +150,11 @@
         handler -> {
           RegistryDiscovery.Context context =
               RegistryDiscovery.context(
-                  handler::lastHeardAt, handler::probe, handler::replaceHosts, LOG::warn);
+                  handler::lastHeardAt,
+                  handler::probe,
+                  handler::replaceHosts,
+                  handler.leases(),
+                  LOG::warn);
           new RegistryDiscovery(
                   handler.loop(),
                   handler.transport(),
--- a/src/main/java/flintlead/discovery/registry/RegistryConfig.java
+++ b/src/main/java/flintlead/discovery/registry/RegistryConfig.java
@@ -24,7 +24,9 @@
 
   private static final int DEFAULT_PAGE_SIZE = 500;
   private static final Span DEFAULT_REQUEST_TIMEOUT = Span.ofMillis(5_000);
-  private static final Span DEFAULT_WATCH_IDLE_TIMEOUT = Span.ofMillis(60_000);
+
+  /** How long a watch may be silent by default. */
+  public static final Span DEFAULT_WATCH_IDLE_TIMEOUT = Span.ofMillis(60_000);
 
   /**
    * The registry's protocol. The names are stored in snapshots and stand in configuration files in
--- a/src/main/java/flintlead/discovery/registry/RegistryDiscovery.java
+++ b/src/main/java/flintlead/discovery/registry/RegistryDiscovery.java
@@ -9,6 +9,7 @@
 import flintlead.discovery.watch.RegistryWatcher;
 import flintlead.discovery.watch.WatchActions;
 import flintlead.gateway.upstream.HostSpec;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.Address;
@@ -47,6 +48,9 @@
     /** Replaces the gateway's hosts. */
     void updateHosts(List<HostSpec> list);
 
+    /** The leases of the hosts, which depend on how old the list is. */
+    HostLeases leases();
+
     /** Logs a condition that an operator should know of. */
     void log(String words);
   }
@@ -172,6 +176,7 @@
       return;
     }
     try {
+      context.leases().checkList(loop.now());
       endpointRegistry.retainedHosts().forEach(context::probe);
       if (endpointRegistry.expireRetained(loop.now())) {
         publish();
@@ -200,6 +205,12 @@
   @Override
   public void abandonAttempt(long attempt) {
     client.abort();
+    context.leases().listBroken(loop.now());
+  }
+
+  @Override
+  public void upToDate() {
+    context.leases().listConfirmed(loop.now());
   }
 
   @Override
@@ -293,11 +304,21 @@
         new TreeMap<>(values));
   }
 
-  /** Returns a gateway made of functions. */
+  /** Returns one for whoever only follows the registry, and sends hosts no work. */
+  public static Context context(
+      Function<String, Moment> lastResponseAt,
+      Consumer<String> probe,
+      Consumer<List<HostSpec>> updateHosts,
+      Consumer<String> log) {
+    return context(lastResponseAt, probe, updateHosts, HostLeases.ofAuthoritativeList(), log);
+  }
+
+  /** Returns a gateway made of functions, whose hosts have these leases. */
   public static Context context(
       Function<String, Moment> lastResponseAt,
       Consumer<String> probe,
       Consumer<List<HostSpec>> updateHosts,
+      HostLeases leases,
       Consumer<String> log) {
     return new Context() {
       @Override
@@ -315,6 +336,11 @@
         updateHosts.accept(list);
       }
 
+      @Override
+      public HostLeases leases() {
+        return leases;
+      }
+
       @Override
       public void log(String words) {
         log.accept(words);
--- a/src/main/java/flintlead/discovery/watch/RegistryWatcher.java
+++ b/src/main/java/flintlead/discovery/watch/RegistryWatcher.java
@@ -208,6 +208,8 @@
     state.replace(ofCluster, pages.revision(), pages.keys());
     fullReadReason = null;
     backoff.recordSuccess();
+    // First, so that the hosts of the new list are usable as soon as they are listed.
+    actions.upToDate();
     actions.replaceAll(state.cluster(), state.revision(), state.keys(), reason);
     startAttempt();
   }
@@ -222,6 +224,13 @@
   public void onWatchCreated(long of, String ofCluster, long revision, Moment now) {
     if (isCurrent(of, Phase.WATCHING) && isSameHistory(ofCluster, revision, now)) {
       backoff.recordSuccess();
+      reportIfUpToDate(revision);
+    }
+  }
+
+  private void reportIfUpToDate(long registryRevision) {
+    if (pending.isEmpty() && state.revision() >= registryRevision) {
+      actions.upToDate();
     }
   }
 
@@ -277,6 +286,7 @@
       requireFullRead("more than " + MAX_KEYS + " changes in one revision", now);
     } else if (!fragment) {
       pending.drain().forEach(this::applyRevision);
+      reportIfUpToDate(revision);
     }
   }
 
@@ -292,6 +302,7 @@
         && pending.isEmpty()) {
       state.apply(revision, List.of());
       actions.applyChanges(revision, List.of());
+      actions.upToDate();
     }
   }
 
@@ -330,6 +341,9 @@
       List<KeyChange> changes = state.advance(revision, entries);
       actions.applyChanges(revision, changes);
     }
+    if (!stale) {
+      actions.upToDate();
+    }
     startAttempt();
   }
 
--- a/src/main/java/flintlead/discovery/watch/WatchActions.java
+++ b/src/main/java/flintlead/discovery/watch/WatchActions.java
@@ -45,6 +45,9 @@
    */
   void replaceAll(String cluster, long revision, Map<String, String> all, String why);
 
+  /** All that the registry has, as of now, was applied. */
+  default void upToDate() {}
+
   /** Logs a condition that an operator should know of. */
   void log(String words);
 }
--- a/src/main/java/flintlead/gateway/CoreInvocationHandler.java
+++ b/src/main/java/flintlead/gateway/CoreInvocationHandler.java
@@ -7,6 +7,7 @@
 import flintlead.routing.pool.PoolSnapshot;
 import flintlead.routing.pool.RouteRequest;
 import flintlead.scheduling.api.SchedulingPolicy;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.EventExecutor;
@@ -82,6 +83,11 @@
     return core.hosts().heardAt(host);
   }
 
+  @Override
+  public HostLeases leases() {
+    return core.schedulerContext().leases();
+  }
+
   @Override
   public void probe(String host) {
     core.commands().probe(NameHash.host(host));
--- a/src/main/java/flintlead/gateway/CoreSchedulerContext.java
+++ b/src/main/java/flintlead/gateway/CoreSchedulerContext.java
@@ -1,6 +1,7 @@
 package flintlead.gateway;
 
 import flintlead.scheduling.api.SchedulerContext;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import org.slf4j.Logger;
@@ -13,14 +14,16 @@
 final class CoreSchedulerContext implements SchedulerContext {
 
   private final EventTimers timers;
+  private final HostLeases leases;
   private final Logger log;
   private InvocationService invocations;
   private AttemptDispatcher attempts;
   private HostCommands hosts;
   private InvocationHandler.PeerChannel peers;
 
-  CoreSchedulerContext(EventTimers timers, Logger log) {
+  CoreSchedulerContext(EventTimers timers, HostLeases leases, Logger log) {
     this.timers = timers;
+    this.leases = leases;
     this.log = log;
   }
 
@@ -41,6 +44,11 @@
     return timers.now();
   }
 
+  @Override
+  public HostLeases leases() {
+    return leases;
+  }
+
   @Override
   public Runnable schedule(Moment when, Runnable then) {
     return timers.at(when, then);
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -45,6 +45,7 @@
     private Transport transport;
     private SchedulingPolicyFactory schedulerFactory = Scheduler::new;
     private boolean peers;
+    private Span registrySilence;
 
     private Builder(GatewayConfig config) {
       this.config = config;
@@ -83,6 +84,18 @@
       return this;
     }
 
+    /**
+     * Its hosts come from a registry that may go out of reach: from then on only hosts that have
+     * proven themselves that they take new work get any, as far as {@link
+     * InvocationHandler#leases()} is told how old the list is.
+     *
+     * @param silence how long the registry may say nothing before the list counts as out of date
+     */
+    public Builder hostsFromRegistry(Span silence) {
+      this.registrySilence = silence;
+      return this;
+    }
+
     /**
      * A loop and transport to run on, which stay their owner's; by default a thread and sockets of
      * its own.
@@ -147,7 +160,8 @@
                 builder.seed,
                 log,
                 builder.schedulerFactory,
-                builder.peers));
+                builder.peers,
+                builder.registrySilence));
     handler = new CoreInvocationHandler(core, transport);
   }
 
--- a/src/main/java/flintlead/gateway/GatewayCore.java
+++ b/src/main/java/flintlead/gateway/GatewayCore.java
@@ -1,16 +1,20 @@
 package flintlead.gateway;
 
+import flintlead.gateway.upstream.HostLink;
 import flintlead.gateway.upstream.UpstreamContext;
 import flintlead.gateway.upstream.UpstreamLimits;
 import flintlead.ids.FunctionNames;
 import flintlead.ids.NameHash;
 import flintlead.routing.admission.AdmissionController;
+import flintlead.routing.guard.HostSendGuard;
 import flintlead.routing.guard.InvariantMonitor;
 import flintlead.routing.guard.InvocationGuard;
 import flintlead.routing.pending.PendingResponses;
 import flintlead.routing.pool.PoolRouter;
 import flintlead.scheduling.api.SchedulingPolicy;
 import flintlead.scheduling.api.SchedulingPolicyFactory;
+import flintlead.scheduling.lease.HostLeases;
+import flintlead.scheduling.lease.LeaseTerms;
 import flintlead.time.Span;
 import flintlead.transport.dial.ConnectionBudget;
 import flintlead.transport.jsonrpc.MessageReader;
@@ -35,6 +39,8 @@
    *
    * @param seed of all chance in the gateway
    * @param peers whether there are other gateways to gossip with
+   * @param registrySilence how long the registry that the hosts come from may say nothing; null
+   *     where whoever gives the hosts answers for the list being current
    */
   record Environment(
       EventExecutor loop,
@@ -44,7 +50,8 @@
       long seed,
       Logger log,
       SchedulingPolicyFactory schedulerFactory,
-      boolean peers) {}
+      boolean peers,
+      Span registrySilence) {}
 
   private final GatewayConfig config;
   private final EventTimers timers;
@@ -76,7 +83,8 @@
     this.router = router(environment, new Random(random.nextLong()));
     String tokenPrefix =
         config.gatewayName() + "-" + Long.toString(random.nextLong() >>> 1, BASE_36) + "-";
-    this.context = new CoreSchedulerContext(timers, log);
+    HostLeases leases = hostLeases(environment);
+    this.context = new CoreSchedulerContext(timers, leases, log);
     this.scheduler =
         environment
             .schedulerFactory()
@@ -86,7 +94,8 @@
     AttemptDispatcher attempts = new AttemptDispatcher(timers, invocations, links, counters);
     this.commands = new HostCommands(timers, links, functions, config.hosts(), scheduler, counters);
     context.connect(invocations, attempts, commands);
-    this.hosts = hostDirectory(upstream(environment, random));
+    HostSendGuard guard = new HostSendGuard(leases, invariants);
+    this.hosts = hostDirectory(upstream(environment, guard, random));
     this.housekeeping = new Housekeeping(timers, invocations, attempts, links);
   }
 
@@ -137,7 +146,22 @@
         config.rules(), timers, links, upstream, router, scheduler, observations);
   }
 
-  private UpstreamContext upstream(Environment environment, Random random) {
+  private HostLeases hostLeases(Environment environment) {
+    if (environment.registrySilence() == null) {
+      return HostLeases.ofAuthoritativeList();
+    }
+    int gateways = config.deployment(environment.peers()).gateways();
+    LeaseTerms terms =
+        new LeaseTerms(config.rules().drainGrace(), environment.registrySilence(), true, gateways);
+    return new HostLeases(terms, new LeaseLog(environment.log(), this::hostName));
+  }
+
+  private String hostName(long host) {
+    HostLink link = links.find(host);
+    return link == null ? Long.toHexString(host) : link.spec().name();
+  }
+
+  private UpstreamContext upstream(Environment environment, HostSendGuard guard, Random random) {
     UpstreamLimits limits = environment.upstream();
     ConnectionBudget budget =
         new ConnectionBudget(limits.totalConnections(), limits.connectsPerSecond());
@@ -149,6 +173,7 @@
         limits,
         budget,
         links,
+        guard,
         random,
         environment.log());
   }
--- a/src/main/java/flintlead/gateway/HostCommands.java
+++ b/src/main/java/flintlead/gateway/HostCommands.java
@@ -93,6 +93,12 @@
       this.instances = instances;
     }
 
+    /** An order for no instance only asks. */
+    @Override
+    protected boolean isNewWork() {
+      return instances > 0;
+    }
+
     @Override
     protected String method() {
       return "load";
--- a/src/main/java/flintlead/gateway/InvocationAttempt.java
+++ b/src/main/java/flintlead/gateway/InvocationAttempt.java
@@ -122,6 +122,11 @@
     return guard.maySend(invocation.record(), seenAt, abandonAt, clock);
   }
 
+  @Override
+  protected boolean isNewWork() {
+    return true;
+  }
+
   @Override
   protected String method() {
     return "run";
--- a/src/main/java/flintlead/gateway/InvocationHandler.java
+++ b/src/main/java/flintlead/gateway/InvocationHandler.java
@@ -6,6 +6,7 @@
 import flintlead.routing.pool.PoolSnapshot;
 import flintlead.routing.pool.RouteRequest;
 import flintlead.scheduling.api.SchedulingPolicy;
+import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.EventExecutor;
@@ -57,6 +58,9 @@
   /** When a host last answered anything; null if it never did or is not in the list. */
   Moment lastHeardAt(String host);
 
+  /** The leases of the hosts; whoever follows a registry tells them how old its list is. */
+  HostLeases leases();
+
   /** Sends the host a health check. */
   void probe(String host);
 
--- a/src/main/java/flintlead/platform/GuardLog.java
+++ b/src/main/java/flintlead/gateway/LeaseLog.java
@@ -1,37 +1,27 @@
-package flintlead.platform;
+package flintlead.gateway;
 
-import flintlead.routing.guard.Invariant;
-import flintlead.routing.guard.InvariantMonitor;
 import flintlead.scheduling.lease.HostProof;
 import flintlead.scheduling.lease.LeaseListener;
 import flintlead.time.Span;
 import java.util.function.LongFunction;
 import org.slf4j.Logger;
 
-/** Logs violations of invariants, and what becomes of the host list and of hosts without it. */
-final class GuardLog implements InvariantMonitor.Listener, LeaseListener {
+/** Logs what becomes of the host list, and of hosts while it is not current. */
+public final class LeaseLog implements LeaseListener {
 
   private static final long MICROS_PER_MILLI = 1_000;
 
   private final Logger log;
-  private LongFunction<String> hostNames = Long::toHexString;
-
-  GuardLog(Logger log) {
+  private final LongFunction<String> hostNames;
+
+  /**
+   * Creates a log of one gateway's leases.
+   *
+   * @param hostNames the name of the host with that number
+   */
+  public LeaseLog(Logger log, LongFunction<String> hostNames) {
     this.log = log;
-  }
-
-  /** Names hosts in this way from now on. */
-  void useNames(LongFunction<String> names) {
-    hostNames = names;
-  }
-
-  @Override
-  public void violated(Invariant invariant, String id, String detail) {
-    log.atError()
-        .addKeyValue("invariant", invariant.key())
-        .addKeyValue("id", id)
-        .addKeyValue("detail", detail)
-        .log("invariant_violated");
+    this.hostNames = hostNames;
   }
 
   @Override
--- a/src/main/java/flintlead/gateway/upstream/Connection.java
+++ b/src/main/java/flintlead/gateway/upstream/Connection.java
@@ -164,9 +164,9 @@
 
   void send(Exchange exchange) {
     long id = ids.nextRequest();
-    exchange.markSent(this, id);
-    inFlight.put(id, exchange);
     usedAt = now();
+    exchange.markSent(this, id, usedAt);
+    inFlight.put(id, exchange);
     heartbeat.requestSent(usedAt);
     ByteBuf bytes = stream.alloc().buffer(REQUEST_BUFFER);
     MessageWriter frame = MessageWriter.request(bytes, id, exchange.method());
@@ -356,10 +356,12 @@
       if (message.errorCode() == HostErrorCodes.DRAINING) {
         listener.hostDraining();
       }
+      listener.requestAnswered(exchange, outcome);
       exchange.end(
           ExchangeResult.error(
               outcome, message.data().isTrue("loadFailed"), message.errorMessage()));
     } else {
+      listener.requestAnswered(exchange, Outcome.OK);
       exchange.end(ExchangeResult.ok(message.result()));
     }
     if (state != ConnectionState.CLOSED) {
--- a/src/main/java/flintlead/gateway/upstream/ConnectionListener.java
+++ b/src/main/java/flintlead/gateway/upstream/ConnectionListener.java
@@ -1,5 +1,6 @@
 package flintlead.gateway.upstream;
 
+import flintlead.scheduling.api.Outcome;
 import flintlead.time.Span;
 import flintlead.transport.dial.AddressSelector.FailureKind;
 import java.util.List;
@@ -22,6 +23,9 @@
   /** The host answered something. */
   void responseReceived(Connection connection);
 
+  /** A request that is still awaited was answered; its end follows. */
+  void requestAnswered(Exchange exchange, Outcome outcome);
+
   /** An answer came to a request that had been given up. */
   void lateResponse();
 
--- a/src/main/java/flintlead/gateway/upstream/Exchange.java
+++ b/src/main/java/flintlead/gateway/upstream/Exchange.java
@@ -36,6 +36,7 @@
   private State state = State.QUEUED;
   private long requestId;
   private Connection connection;
+  private Moment sentAt;
 
   /** The method's name in the hosts' protocol. */
   protected abstract String method();
@@ -65,6 +66,11 @@
         : SendVerdict.LOOK_FIRST;
   }
 
+  /** Whether it brings the host new work, so that the host's lease must hold when it leaves. */
+  protected boolean isNewWork() {
+    return false;
+  }
+
   /** The request has ended; called at most once, and never after {@link HostLink#withdraw}. */
   protected abstract void ended(ExchangeResult result);
 
@@ -83,18 +89,24 @@
     return requestId;
   }
 
+  /** When it was sent; null while queued. */
+  final Moment sentAt() {
+    return sentAt;
+  }
+
   /** The connection it was sent on; null while queued. */
   final Connection connection() {
     return connection;
   }
 
   /** Records that bytes may leave on the connection from now on, whatever becomes of it. */
-  final void markSent(Connection carrier, long id) {
+  final void markSent(Connection carrier, long id, Moment now) {
     if (state != State.QUEUED) {
       throw new IllegalStateException("request sent in state " + state);
     }
     state = State.SENT;
     connection = carrier;
+    sentAt = now;
     requestId = id;
   }
 
--- a/src/main/java/flintlead/gateway/upstream/HostLink.java
+++ b/src/main/java/flintlead/gateway/upstream/HostLink.java
@@ -58,7 +58,8 @@
     this.connections = new ConnectionSet(addresses, this::hasOtherAddresses);
     this.dialer = new Dialer(context, new ConnectionEvents(), addresses, connections);
     this.monitor = new LivenessMonitor(this, loop, connections, dialer);
-    this.queue = new RequestQueue(context, connections, dialer);
+    this.queue =
+        new RequestQueue(context, connections, dialer, this::run, this::withdraw, spec.name());
   }
 
   private static Object family(Address address) {
@@ -228,7 +229,7 @@
   public void retire() {
     dialer.stop();
     connections.snapshot().forEach(Connection::drain);
-    queue.endAllLater(Outcome.CONNECT_FAILED, spec.name() + " has left the list");
+    queue.retire(Outcome.CONNECT_FAILED, spec.name() + " has left the list");
   }
 
   /** Drops everything at once. */
@@ -342,6 +343,11 @@
       }
     }
 
+    @Override
+    public void requestAnswered(Exchange exchange, Outcome outcome) {
+      queue.answered(exchange, outcome);
+    }
+
     @Override
     public void lateResponse() {
       lateResponses++;
--- /dev/null
+++ b/src/main/java/flintlead/gateway/upstream/LinkProofs.java
@@ -0,0 +1,170 @@
+package flintlead.gateway.upstream;
+
+import flintlead.ids.NameHash;
+import flintlead.routing.guard.HostSendGuard;
+import flintlead.routing.guard.SendVerdict;
+import flintlead.scheduling.api.Outcome;
+import flintlead.scheduling.lease.HostLeases;
+import flintlead.scheduling.lease.HostProof;
+import flintlead.scheduling.lease.RefusalReason;
+import flintlead.time.Moment;
+import flintlead.transport.jsonrpc.MessageWriter;
+import flintlead.transport.loop.EventExecutor;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The lease of one link's host: tells {@link HostLeases} what the host's answers prove, and holds
+ * the requests that wait until a probe has renewed the lease. One probe at a time.
+ */
+final class LinkProofs {
+
+  private final long host;
+  private final UpstreamContext context;
+  private final HostSendGuard guard;
+  private final HostLeases leases;
+  private final EventExecutor loop;
+  private final Consumer<Exchange> send;
+  private final Consumer<Exchange> withdraw;
+  private final Deque<Exchange> waiting = new ArrayDeque<>();
+  private Probe probe;
+  private boolean retired;
+
+  /**
+   * Creates proofs of a host that nothing waits for.
+   *
+   * @param send queues a request, or sends it
+   * @param withdraw ends a request without an outcome
+   */
+  LinkProofs(
+      String hostName,
+      UpstreamContext context,
+      Consumer<Exchange> send,
+      Consumer<Exchange> withdraw) {
+    this.host = NameHash.host(hostName);
+    this.context = context;
+    this.guard = context.guard();
+    this.leases = guard.leases();
+    this.loop = context.loop();
+    this.send = send;
+    this.withdraw = withdraw;
+  }
+
+  /** Whether new work may leave at that time. */
+  SendVerdict maySend(Moment clock) {
+    return guard.maySend(host, clock);
+  }
+
+  /** The host answered a request. */
+  void answered(Exchange exchange, Outcome outcome) {
+    if (retired || !exchange.isNewWork()) {
+      return;
+    }
+    if (outcome == Outcome.OK) {
+      leases.proven(host, exchange.sentAt(), HostProof.SERVED, loop.now());
+    } else if (outcome == Outcome.FULL) {
+      leases.turnedAway(host, loop.now());
+    }
+  }
+
+  /** The host has left the list. */
+  void retire() {
+    retired = true;
+    leases.forget(host);
+  }
+
+  int waiting() {
+    return waiting.size();
+  }
+
+  boolean remove(Exchange exchange) {
+    return waiting.remove(exchange);
+  }
+
+  void clear() {
+    waiting.clear();
+  }
+
+  /** Takes out all that wait. */
+  List<Exchange> takeWaiting() {
+    List<Exchange> taken = List.copyOf(waiting);
+    waiting.clear();
+    return taken;
+  }
+
+  /** Holds the request until a probe has renewed the lease; it is ended where none can. */
+  void await(Exchange exchange) {
+    waiting.add(exchange);
+    if (probe == null) {
+      beginProbe();
+    }
+  }
+
+  private void beginProbe() {
+    if (!leases.beginProbe(host, loop.now())) {
+      endWaiting(Outcome.UNPROVEN, "nothing proves that the host takes new work");
+      return;
+    }
+    Probe begun = new Probe();
+    probe = begun;
+    loop.scheduleAfter(context.limits().connectTimeout(), () -> timeOut(begun));
+    send.accept(begun);
+  }
+
+  private void timeOut(Probe late) {
+    if (!late.hasEnded()) {
+      withdraw.accept(late);
+      probeEnded(late, HostProof.PROBE_UNANSWERED, RefusalReason.PROBE_UNANSWERED);
+    }
+  }
+
+  private void probeEnded(Probe ended, HostProof result, RefusalReason reason) {
+    if (probe != ended) {
+      return;
+    }
+    probe = null;
+    Moment askedAt = ended.sentAt() == null ? loop.now() : ended.sentAt();
+    leases.probeEnded(host, askedAt, result, loop.now());
+    if (result == HostProof.PROBE) {
+      takeWaiting().forEach(send);
+    } else {
+      leases.refused(reason);
+      boolean unreachable = reason == RefusalReason.UNREACHABLE;
+      endWaiting(unreachable ? Outcome.CONNECT_FAILED : Outcome.UNPROVEN, reason.key());
+    }
+  }
+
+  private void endWaiting(Outcome outcome, String why) {
+    for (Exchange exchange : takeWaiting()) {
+      loop.scheduleAt(loop.now(), () -> exchange.end(ExchangeResult.unanswered(outcome, why)));
+    }
+  }
+
+  /** Asks the host for a sign that it takes new work: one that drains refuses it. */
+  private final class Probe extends Exchange {
+
+    @Override
+    protected String method() {
+      return "probe";
+    }
+
+    @Override
+    protected void params(MessageWriter frame) {
+      // A probe has no parameters.
+    }
+
+    @Override
+    protected void ended(ExchangeResult result) {
+      switch (result.outcome()) {
+        case OK -> probeEnded(this, HostProof.PROBE, null);
+        case CONNECT_FAILED, RESET ->
+            probeEnded(this, HostProof.UNREACHABLE, RefusalReason.UNREACHABLE);
+        case CONNECTION_LOST, WITHDRAWN ->
+            probeEnded(this, HostProof.PROBE_UNANSWERED, RefusalReason.PROBE_UNANSWERED);
+        default -> probeEnded(this, HostProof.PROBE_DENIED, RefusalReason.PROBE_DENIED);
+      }
+    }
+  }
+}
--- a/src/main/java/flintlead/gateway/upstream/RequestQueue.java
+++ b/src/main/java/flintlead/gateway/upstream/RequestQueue.java
@@ -2,12 +2,14 @@
 
 import flintlead.routing.guard.SendVerdict;
 import flintlead.scheduling.api.Outcome;
+import flintlead.time.Moment;
 import flintlead.transport.loop.EventExecutor;
 import flintlead.transport.loop.PollClock;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Requests that wait for a connection to one host, oldest first. Bounded. */
 final class RequestQueue {
@@ -16,20 +18,34 @@
   private final EventExecutor loop;
   private final ConnectionSet connections;
   private final Dialer dialer;
+  private final LinkProofs proofs;
   private final Deque<Exchange> requests = new ArrayDeque<>();
 
   /** Whether what is queued waits until the sockets were looked at. */
   private boolean awaitsPoll;
 
-  RequestQueue(UpstreamContext context, ConnectionSet connections, Dialer dialer) {
+  /**
+   * Creates an empty queue.
+   *
+   * @param send sends a request to the host, or queues it
+   * @param withdraw ends a request without an outcome
+   */
+  RequestQueue(
+      UpstreamContext context,
+      ConnectionSet connections,
+      Dialer dialer,
+      Consumer<Exchange> send,
+      Consumer<Exchange> withdraw,
+      String hostName) {
     this.capacity = context.limits().pendingRequests();
     this.loop = context.loop();
     this.connections = connections;
     this.dialer = dialer;
+    this.proofs = new LinkProofs(hostName, context, send, withdraw);
   }
 
   boolean isFull() {
-    return requests.size() >= capacity;
+    return requests.size() + proofs.waiting() >= capacity;
   }
 
   boolean isEmpty() {
@@ -42,12 +58,13 @@
 
   /** Removes the request; returns whether it was queued. */
   boolean remove(Exchange request) {
-    return requests.remove(request);
+    return requests.remove(request) || proofs.remove(request);
   }
 
   /** Drops all requests; nobody is told. */
   void clear() {
     requests.clear();
+    proofs.clear();
   }
 
   /** Sends requests while a connection accepts them, and ends those that must never leave. */
@@ -63,6 +80,7 @@
           sendAfterNextPoll();
           return;
         }
+        case PROVE_FIRST, UNPROVEN -> proofs.await(requests.poll());
         default ->
             endLater(requests.poll(), Outcome.WITHDRAWN, "its client no longer waits for it");
       }
@@ -82,7 +100,14 @@
   /** Whether the request may leave now. */
   SendVerdict verdict(Exchange request) {
     PollClock polls = loop.polls();
-    return request.maySend(polls.deliveredUpTo(), polls.readClock());
+    Moment clock = polls.readClock();
+    SendVerdict verdict = request.maySend(polls.deliveredUpTo(), clock);
+    return verdict == SendVerdict.SEND && request.isNewWork() ? proofs.maySend(clock) : verdict;
+  }
+
+  /** The host answered a request. */
+  void answered(Exchange request, Outcome outcome) {
+    proofs.answered(request, outcome);
   }
 
   /** What the sockets have received is looked at first. */
@@ -116,8 +141,9 @@
     }
   }
 
-  /** Ends all requests, each in an event of its own. */
-  void endAllLater(Outcome outcome, String reason) {
+  /** The host has left the list: ends all requests, each in an event of its own. */
+  void retire(Outcome outcome, String reason) {
+    proofs.retire();
     removeAll().forEach(request -> endLater(request, outcome, reason));
   }
 
@@ -128,6 +154,7 @@
 
   private List<Exchange> removeAll() {
     List<Exchange> removed = new ArrayList<>(requests);
+    removed.addAll(proofs.takeWaiting());
     requests.clear();
     return removed;
   }
--- a/src/main/java/flintlead/gateway/upstream/UpstreamContext.java
+++ b/src/main/java/flintlead/gateway/upstream/UpstreamContext.java
@@ -1,5 +1,6 @@
 package flintlead.gateway.upstream;
 
+import flintlead.routing.guard.HostSendGuard;
 import flintlead.transport.dial.ConnectionBudget;
 import flintlead.transport.jsonrpc.MessageReader;
 import flintlead.transport.loop.EventExecutor;
@@ -17,6 +18,7 @@
  * @param limits bounds of connections and queues
  * @param budget limits the rate of new connections
  * @param quota the connections to all hosts together
+ * @param guard decides at the moment of writing whether new work may leave
  * @param random drawn from for request ids and backoff
  * @param log the gateway's log
  */
@@ -28,5 +30,6 @@
     UpstreamLimits limits,
     ConnectionBudget budget,
     ConnectionQuota quota,
+    HostSendGuard guard,
     Random random,
     Logger log) {}
--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -1,6 +1,7 @@
 package flintlead.platform;
 
 import flintlead.configuration.startup.StartupSettings;
+import flintlead.gateway.LeaseLog;
 import flintlead.platform.downstream.CloseCause;
 import flintlead.platform.downstream.HttpFront;
 import flintlead.platform.downstream.InvocationRequestParser;
@@ -11,6 +12,7 @@
 import flintlead.platform.upstream.LinkLimits;
 import flintlead.routing.admission.AdmissionController;
 import flintlead.routing.guard.HostSendGuard;
+import flintlead.routing.guard.Invariant;
 import flintlead.routing.guard.InvariantMonitor;
 import flintlead.scheduling.api.Deployment;
 import flintlead.scheduling.api.TriggerType;
@@ -60,6 +62,7 @@
   private final PlatformConfig configuration;
   private final ConfigurationReloader reloader;
   private final ShutdownTimes shutdownTimes;
+  private ConnectionPools pools;
   private PlatformGateway gateway;
   private JournalClient journal;
   private HttpFront front;
@@ -116,8 +119,7 @@
     Random random = new Random(configuration.seed());
     int descriptors = configuration.sockets() - RESERVED_DESCRIPTORS;
     int maxClients = (int) (descriptors * CLIENT_DESCRIPTOR_FRACTION);
-    ConnectionPools pools =
-        connectionPools(hostLimits(settings, descriptors - maxClients), leaseTerms(settings));
+    pools = connectionPools(hostLimits(settings, descriptors - maxClients), leaseTerms(settings));
     gateway =
         new PlatformGateway(
             loop,
@@ -145,12 +147,18 @@
   }
 
   private ConnectionPools connectionPools(LinkLimits limits, LeaseTerms terms) {
-    GuardLog guardLog = new GuardLog(log);
-    InvariantMonitor monitor = new InvariantMonitor(guardLog);
-    HostSendGuard guard = new HostSendGuard(new HostLeases(terms, guardLog), monitor);
-    ConnectionPools pools = new ConnectionPools(limits, loop, loop, guard, log);
-    guardLog.useNames(pools::hostName);
-    return pools;
+    LeaseLog leaseLog = new LeaseLog(log, host -> pools.hostName(host));
+    HostLeases leases = new HostLeases(terms, leaseLog);
+    HostSendGuard guard = new HostSendGuard(leases, new InvariantMonitor(this::logViolation));
+    return new ConnectionPools(limits, loop, loop, guard, log);
+  }
+
+  private void logViolation(Invariant invariant, String id, String detail) {
+    log.atError()
+        .addKeyValue("invariant", invariant.key())
+        .addKeyValue("id", id)
+        .addKeyValue("detail", detail)
+        .log("invariant_violated");
   }
 
   private JournalClient createJournal(StartupSettings settings, HostLeases leases, Random random) {
--- a/src/main/java/flintlead/scheduling/lease/LeaseTerms.java
+++ b/src/main/java/flintlead/scheduling/lease/LeaseTerms.java
@@ -7,10 +7,11 @@
  *
  * @param drainGrace how long new work may still be sent to a host that drains, from when the
  *     gateway counts as notified
+ * @param silence how long a list is taken for current of which nothing was heard
  * @param probesAllowed whether hosts may be sent probes
  * @param gateways how many gateways share the probes that a host bears
  */
-public record LeaseTerms(Span drainGrace, boolean probesAllowed, int gateways) {
+public record LeaseTerms(Span drainGrace, Span silence, boolean probesAllowed, int gateways) {
 
   /** Part of the grace that a lease lasts: the rest is for the way to the host. */
   private static final double LEASE_SHARE = 0.8;
@@ -27,6 +28,11 @@
   /** No gateway sends one host more probes a second, however few gateways there are. */
   private static final double MAX_OWN_PROBES_PER_SECOND = 2;
 
+  /** Terms of a discovery that says each second that it is there. */
+  public LeaseTerms(Span drainGrace, boolean probesAllowed, int gateways) {
+    this(drainGrace, TOLD_AFTER_SILENCE, probesAllowed, gateways);
+  }
+
   /** How long a lease holds from when the host's proof was asked for. */
   Span duration() {
     return drainGrace.times(LEASE_SHARE);
@@ -34,7 +40,7 @@
 
   /** How long the list renews the leases of all its hosts after it was last confirmed. */
   Span afterConfirmation() {
-    return TOLD_AFTER_SILENCE.plus(duration());
+    return silence.plus(duration());
   }
 
   /** How long it still does so after the connection to discovery broke. */
--- a/src/main/java/flintlead/testing/emulator/EmulatedHostConnection.java
+++ b/src/main/java/flintlead/testing/emulator/EmulatedHostConnection.java
@@ -1,5 +1,6 @@
 package flintlead.testing.emulator;
 
+import flintlead.gateway.upstream.HostErrorCodes;
 import flintlead.time.Moment;
 import flintlead.transport.jsonrpc.JsonMembers;
 import flintlead.transport.jsonrpc.LineDecoder;
@@ -166,7 +167,7 @@
         write(MessageWriter.result(buffer(), id));
       }
       case "ping" -> write(MessageWriter.result(buffer(), id));
-      case "probe" -> write(MessageWriter.result(buffer(), id).put("waiting", host.waiting()));
+      case "probe" -> answerProbe(id);
       default ->
           write(
               MessageWriter.error(
@@ -177,6 +178,14 @@
     }
   }
 
+  private void answerProbe(MessageId id) {
+    if (host.isDraining()) {
+      sendError(id, HostErrorCodes.DRAINING, "drains", false);
+    } else {
+      write(MessageWriter.result(buffer(), id).put("waiting", host.waiting()));
+    }
+  }
+
   private void greet(MessageId id, JsonMembers params) {
     gateway = params.string("gateway");
     write(
--- a/src/main/java/flintlead/testing/scenario/GatewayFleet.java
+++ b/src/main/java/flintlead/testing/scenario/GatewayFleet.java
@@ -1,5 +1,6 @@
 package flintlead.testing.scenario;
 
+import flintlead.discovery.registry.RegistryConfig;
 import flintlead.gateway.Flintlead;
 import flintlead.gateway.downstream.ClientFront;
 import flintlead.gateway.downstream.FrontLimits;
@@ -100,6 +101,9 @@
                 scenario.gatewayConfig().forGateway(site.name, site.index, scenario.gateways()))
             .seed(context.seed * 31 + site.index)
             .runOn(site.loop);
+    if (scenario.registry() != null) {
+      builder.hostsFromRegistry(RegistryConfig.DEFAULT_WATCH_IDLE_TIMEOUT);
+    }
     builder = scenario.peers() ? builder.withPeers() : builder;
     site.gateway = (policy == null ? builder : builder.scheduledBy(policy)).start();
     if (scenario.peers()) {
--- a/src/main/java/flintlead/testing/scenario/HostDirectory.java
+++ b/src/main/java/flintlead/testing/scenario/HostDirectory.java
@@ -176,6 +176,7 @@
                           notices.record(gateway, specs, context.environment.now());
                           taker.replaceHosts(specs);
                         },
+                        taker.leases(),
                         message -> {}),
                     null)
                 .start());
--- a/src/main/java/flintlead/testing/soak/SoakHostConnection.java
+++ b/src/main/java/flintlead/testing/soak/SoakHostConnection.java
@@ -62,7 +62,9 @@
   public void received(ByteBuf bytes) {
     byte[] copy = new byte[bytes.readableBytes()];
     bytes.readBytes(copy);
-    Held arrived = new Held(copy, System.nanoTime());
+    // The rig may have stood still itself: then they may have come at any time since.
+    long earliestNanos = TimeUnit.MICROSECONDS.toNanos(stream.earliestArrival().micros());
+    Held arrived = new Held(copy, Math.min(earliestNanos, System.nanoTime()));
     if (isLateToOpen() || host.has(FaultKind.CUT) || !held.isEmpty()) {
       held.add(arrived);
     } else {
--- a/src/main/java/flintlead/testing/soak/SoakOracle.java
+++ b/src/main/java/flintlead/testing/soak/SoakOracle.java
@@ -46,7 +46,8 @@
 
   /** What a gateway reports of an attempt that left later than it was checked. */
   private static final Pattern OVERTAKEN_REPORT =
-      Pattern.compile("client_seen_before_attempt|deadline_not_extended|no_attempt_after_end");
+      Pattern.compile(
+          "client_seen_before_attempt|deadline_not_extended|no_attempt_after_end|lease_before_new_work");
 
   private final SoakPlan plan;
   private final SoakRecords records;
@@ -268,11 +269,7 @@
             new Breach(
                 Invariant.NOTHING_TO_DRAINING_HOST,
                 attempt.id(),
-                "an attempt at host "
-                    + drain.host()
-                    + " "
-                    + late
-                    + " ms after it was told to drain"));
+                late + " ms after host " + drain.host() + " drains" + timelineOf(attempt)));
       }
     }
   }
@@ -331,6 +328,14 @@
     breaches.add(new Breach(invariant, request.id, what + timeline(request)));
   }
 
+  private String timelineOf(HostAttemptRecord attempt) {
+    return records.requests.stream()
+        .filter(request -> request.id.equals(attempt.id()))
+        .findFirst()
+        .map(this::timeline)
+        .orElse("");
+  }
+
   /** Everything that was recorded of a request, relative to when it was sent. */
   private String timeline(ClientRequest request) {
     StringBuilder text = new StringBuilder();
