Review: requests for unknown functions end the gateway process

Cause: each of the 16,384 functions that are remembered keeps its own array of all listed hosts, whoever has named the function; no bound of that table depends on the memory, and a full heap ends the process.

Done: review/3. 16 bad clients ask for functions that no host knows, one request after another, beside four usual clients; 120 hosts, memory_mb 64. Nothing of the program is changed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Needs the program's build (`build` of deploy/balancer.toml). Exit code 1: the rule was broken; 0: it held; 2: the
+# case could not run. TROUBLE=0 leaves the disruption out. Writes record.txt beside this file.
+cd "$(dirname "$0")/../.." || exit 2
+test -f target/flintlead.jar || { echo "not built" >&2; exit 2; }
+sh review/build.sh || exit 2
+exec java -cp review/classes UnknownFunctions review/3
