Cancel the timeout of a refused connection when it has its answer

Cause: the timer that closes a silent refused connection was never cancelled and holds the connection with its stream. Change: its end cancels the timer. HttpFrontTest.refusedConnectionsAreNotKept failed before (timers of 20 ended connections remained) and passes.

--- a/src/main/java/flintlead/platform/downstream/HttpFront.java
+++ b/src/main/java/flintlead/platform/downstream/HttpFront.java
@@ -166,7 +166,7 @@
     if (refused.size() > MAX_REFUSED_CONNECTIONS) {
       refused.iterator().next().closeIfSilent();
     }
-    loop.scheduleAfter(REFUSED_TIMEOUT, connection::closeIfSilent);
+    connection.setCancelTimeout(loop.scheduleAfter(REFUSED_TIMEOUT, connection::closeIfSilent));
     return connection;
   }
 
--- a/src/main/java/flintlead/platform/downstream/RefusedConnection.java
+++ b/src/main/java/flintlead/platform/downstream/RefusedConnection.java
@@ -16,6 +16,7 @@
 
   private final HttpFront front;
   private final Stream stream;
+  private Runnable cancelTimeout = () -> {};
   private boolean ended;
 
   RefusedConnection(HttpFront front, Stream stream) {
@@ -42,8 +43,14 @@
     stream.closeGracefully();
   }
 
+  /** Sets what cancels the timeout of the connection, which otherwise keeps it in memory. */
+  void setCancelTimeout(Runnable cancel) {
+    cancelTimeout = cancel;
+  }
+
   private void end() {
     ended = true;
+    cancelTimeout.run();
     front.refusedConnectionEnded(this);
   }
 
--- a/src/test/java/flintlead/platform/downstream/HttpFrontTest.java
+++ b/src/test/java/flintlead/platform/downstream/HttpFrontTest.java
@@ -6,6 +6,8 @@
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.Address;
+import flintlead.transport.loop.EventExecutor;
+import flintlead.transport.loop.PollClock;
 import flintlead.transport.netty.NettyEventLoop;
 import io.netty.buffer.ByteBuf;
 import java.io.BufferedReader;
@@ -13,8 +15,11 @@
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +39,7 @@
 
   private final NettyEventLoop loop = new NettyEventLoop("front");
   private final SilentHandler handler = new SilentHandler();
+  private final AtomicInteger timers = new AtomicInteger();
   private final AtomicInteger partialRequestsRefused = new AtomicInteger();
 
   @AfterEach
@@ -87,11 +93,53 @@
     }
   }
 
+  /** Counts the timers that have neither run nor been cancelled. */
+  private final class CountingExecutor implements EventExecutor {
+
+    @Override
+    public Moment now() {
+      return loop.now();
+    }
+
+    @Override
+    public Runnable scheduleAt(Moment time, Runnable task) {
+      AtomicBoolean ended = new AtomicBoolean();
+      timers.incrementAndGet();
+      Runnable end =
+          () -> {
+            if (ended.compareAndSet(false, true)) {
+              timers.decrementAndGet();
+            }
+          };
+      Runnable cancel =
+          loop.scheduleAt(
+              time,
+              () -> {
+                end.run();
+                task.run();
+              });
+      return () -> {
+        end.run();
+        cancel.run();
+      };
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      loop.execute(task);
+    }
+
+    @Override
+    public PollClock polls() {
+      return loop.polls();
+    }
+  }
+
   private HttpFront front(long receivedBytes) {
     InvocationRequestParser parser =
         new InvocationRequestParser(List.of("check"), List.of(false), List.of("mill"));
     return new HttpFront(
-        loop,
+        new CountingExecutor(),
         loop,
         handler,
         parser,
@@ -156,4 +204,28 @@
       await().until(() -> !handler.submitted.isEmpty());
     }
   }
+
+  /** A timer kept each refused connection in memory for 2.3 s after it had its answer. */
+  @Test
+  void refusedConnectionsAreNotKept() throws Exception {
+    Address.Tcp address =
+        (Address.Tcp) front(RECEIVED_BYTES).listen(new Address.Tcp("127.0.0.1", 0));
+    List<Socket> busy = new ArrayList<>();
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+      Socket client = new Socket("127.0.0.1", address.port());
+      client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+      busy.add(client);
+    }
+    await().until(() -> handler.submitted.size() == MAX_CONNECTIONS);
+    for (int i = 0; i < 20; i++) {
+      try (Socket refused = new Socket("127.0.0.1", address.port())) {
+        refused.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        assertEquals("HTTP/1.1 503 Service Unavailable", statusLine(refused));
+      }
+    }
+    await().atMost(Duration.ofMillis(800)).until(() -> timers.get() <= 1);
+    for (Socket client : busy) {
+      client.close();
+    }
+  }
 }
