Bound what the scheduler remembers by the memory, not by a fixed number of functions

Cause: 16,384 functions were remembered whatever the heap, each with an order of all hosts, with the list that order was made from, and with estimates. Evidence: of 18.5 MB that 16,384 functions took at 120 hosts, 8.1 MB were Host[], the rest functions, estimates and their map entries.

Change: StateLimits, from a share of the heap, bounds functions, estimates, hosts in cached hash walks and departed hosts; the least recently used goes, functions never seen loaded first. A walk that is not cached is computed, so decisions are the same.

One run of the scheduling, platform, golden and arch tests: DiscoveryOutageTest failed with a BindException of its rig, the others passed.

--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -7,6 +7,7 @@
 import flintlead.routing.guard.InvariantMonitor;
 import flintlead.routing.guard.InvocationGuard;
 import flintlead.scheduling.api.Deployment;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Span;
 import flintlead.transport.loop.EventExecutor;
@@ -42,6 +43,7 @@
    * @param triggerTypeNames names of the trigger types in the host protocol, by index
    * @param probeTimeout how long to wait for the response to a probe
    * @param admission limits on the invocations that are accepted
+   * @param stateLimits limits of what the scheduler remembers
    * @param seed seed of the gateway's random choices
    */
   record Settings(
@@ -49,6 +51,7 @@
       List<String> triggerTypeNames,
       Span probeTimeout,
       AdmissionController.Limits admission,
+      StateLimits stateLimits,
       long seed) {}
 
   PlatformGateway(EventExecutor loop, ConnectionPools pools, Settings settings, Logger log) {
@@ -75,6 +78,7 @@
             counters,
             log,
             deployment,
+            settings.stateLimits(),
             random.nextLong());
     this.invocations =
         new InvocationService(
--- a/src/main/java/flintlead/platform/PlatformSchedulerContext.java
+++ b/src/main/java/flintlead/platform/PlatformSchedulerContext.java
@@ -5,6 +5,7 @@
 import flintlead.scheduling.api.Deployment;
 import flintlead.scheduling.api.SchedulerContext;
 import flintlead.scheduling.api.SchedulingPolicy;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
@@ -26,6 +27,7 @@
   private final HostLeases leases;
   private final TrafficCounters counters;
   private final Logger log;
+  private final StateLimits limits;
   private final SchedulingPolicy scheduler;
 
   /**
@@ -45,6 +47,7 @@
       TrafficCounters counters,
       Logger log,
       Deployment deployment,
+      StateLimits limits,
       long seed) {
     this.loop = loop;
     this.registry = registry;
@@ -54,6 +57,7 @@
     this.leases = leases;
     this.counters = counters;
     this.log = log;
+    this.limits = limits;
     this.scheduler = new Scheduler(this, deployment, seed);
   }
 
@@ -81,6 +85,11 @@
     return leases;
   }
 
+  @Override
+  public StateLimits stateLimits() {
+    return limits;
+  }
+
   // ---- invocations ----
 
   @Override
--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -16,6 +16,7 @@
 import flintlead.routing.guard.Invariant;
 import flintlead.routing.guard.InvariantMonitor;
 import flintlead.scheduling.api.Deployment;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.scheduling.api.TriggerType;
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.scheduling.lease.LeaseTerms;
@@ -134,6 +135,7 @@
                 settings.namesOf("services"),
                 settings.span("limits.dial_timeout"),
                 admissionBounds(maxClients),
+                StateLimits.fitting(memory.schedulerBytes()),
                 random.nextLong()),
             log);
     journal = createJournal(settings, pools.guard().leases(), new Random(random.nextLong()));
--- a/src/main/java/flintlead/routing/admission/MemoryBudget.java
+++ b/src/main/java/flintlead/routing/admission/MemoryBudget.java
@@ -15,6 +15,7 @@
   /** Fraction of a heap of any size that remains for state. */
   private static final double MIN_STATE_FRACTION = 0.25;
 
+  private static final double SCHEDULER_FRACTION = 0.14;
   private static final double RECEIVED_FRACTION = 0.07;
 
   private long share(double fraction) {
@@ -22,6 +23,11 @@
     return (long) (state * fraction);
   }
 
+  /** Bytes of what the scheduler remembers of functions, and of hosts that have left. */
+  public long schedulerBytes() {
+    return share(SCHEDULER_FRACTION);
+  }
+
   /** Bytes of requests that clients have sent in part. */
   public long receivedBytes() {
     return share(RECEIVED_FRACTION);
--- a/src/main/java/flintlead/scheduling/Placement.java
+++ b/src/main/java/flintlead/scheduling/Placement.java
@@ -169,7 +169,7 @@
     }
     double toSkip = invocation.hostsToSkip;
     Host last = null;
-    for (Host host : invocation.function.hashWalk(state.hosts.listed())) {
+    for (Host host : state.hashWalks.walk(invocation.function.id, state.hosts.listed())) {
       if (usable(invocation, host) && capacity.hasCapacity(host) && mayLoad(invocation, host)) {
         last = host;
         if (toSkip-- < 1) {
@@ -231,7 +231,8 @@
   }
 
   void recordLoad(long function, Host host, int atLeast) {
-    recordInstances(state.functions.getOrCreate(function).getOrCreateEstimate(host), atLeast);
+    FunctionState loaded = state.functions.getOrCreate(function);
+    recordInstances(state.functions.getOrCreateEstimate(loaded, host), atLeast);
   }
 
   private void recordInstances(InstanceEstimate estimate, int atLeast) {
@@ -264,7 +265,7 @@
         && age.isShorterThan(state.deployment.instanceKeepAlive())
         && seenAt.isAfter(host.entry.startedAt())
         && (existing == null || existing.learnedFromPeer && seenAt.isAfter(existing.lastUsedAt))) {
-      function.getOrCreateEstimate(host).learn(instances, seenAt);
+      state.functions.getOrCreateEstimate(function, host).learn(instances, seenAt);
     }
   }
 
--- a/src/main/java/flintlead/scheduling/Scheduler.java
+++ b/src/main/java/flintlead/scheduling/Scheduler.java
@@ -36,14 +36,6 @@
    */
   private static final Span RETRY_AFTER_WITHOUT_HOSTS = Span.ofMillis(1_000);
 
-  /**
-   * Most functions and departed hosts remembered. They bound the memory of a gateway that runs for
-   * months.
-   */
-  private static final int MAX_FUNCTIONS = 16_384;
-
-  private static final int MAX_DEPARTED_HOSTS = 1_024;
-
   private final SchedulerContext context;
   private final Deployment deployment;
   private final SchedulerState state;
@@ -57,7 +49,7 @@
   public Scheduler(SchedulerContext context, Deployment deployment, long seed) {
     this.context = context;
     this.deployment = deployment;
-    this.state = new SchedulerState(context, deployment, seed, MAX_FUNCTIONS, MAX_DEPARTED_HOSTS);
+    this.state = new SchedulerState(context, deployment, seed);
     this.rules = new AttemptRules(state);
     this.health = new HostHealth(state);
     this.capacity = new CapacityLimits(state);
--- a/src/main/java/flintlead/scheduling/api/SchedulerContext.java
+++ b/src/main/java/flintlead/scheduling/api/SchedulerContext.java
@@ -75,4 +75,9 @@
 
   /** Writes a line to the gateway's log. */
   void log(String line);
+
+  /** Limits of what the policy remembers, from the memory of the gateway. */
+  default StateLimits stateLimits() {
+    return StateLimits.DEFAULTS;
+  }
 }
--- a/src/main/java/flintlead/scheduling/state/FunctionState.java
+++ b/src/main/java/flintlead/scheduling/state/FunctionState.java
@@ -1,19 +1,11 @@
 package flintlead.scheduling.state;
 
 import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Map;
 
 /** State of one function in a gateway, over all hosts. */
 public final class FunctionState {
 
-  private static final double TWO_TO_52 = 0x1p52;
-  private static final double TWO_TO_MINUS_53 = 0x1p-53;
-  private static final int DROPPED_BITS = 11;
-
   public final long id;
 
   /**
@@ -37,58 +29,36 @@
    */
   public int queued;
 
-  private Host[] walk;
-  private Host[] walkHosts;
+  private final EstimateCounter counter;
 
-  /** Creates a function without estimates. */
-  public FunctionState(long id) {
-    this.id = id;
-  }
+  /** Counts the estimates of all functions of a gateway. */
+  static final class EstimateCounter {
+    private int count;
 
-  /**
-   * Returns the hosts ordered by a hash of function id and host id (rendezvous hashing). Adding or
-   * removing a host does not change the relative order of the others.
-   *
-   * @param hosts an array that is never modified; its walk is cached until another array is passed
-   */
-  public Host[] hashWalk(Host[] hosts) {
-    if (walkHosts != hosts) {
-      long seed = BitMixer.mix(id);
-      walk = hosts.clone();
-      if (haveEqualWeights(hosts)) {
-        Arrays.sort(walk, Comparator.comparingLong(host -> BitMixer.mix(seed + host.id())));
-      } else {
-        sortByWeightedRendezvous(seed);
-      }
-      walkHosts = hosts;
+    int count() {
+      return count;
     }
-    return walk;
   }
 
-  private static boolean haveEqualWeights(Host[] hosts) {
-    for (Host host : hosts) {
-      if (host.entry.weight() != hosts[0].entry.weight()) {
-        return false;
-      }
-    }
-    return true;
+  /** Creates a function without estimates that belongs to no table. */
+  public FunctionState(long id) {
+    this(id, new EstimateCounter());
   }
 
-  /**
-   * Sorts the walk by weighted rendezvous hashing (Schindelhauer and Schomaker, 2005, logarithmic
-   * method). The probability that a host comes first is proportional to its weight, and changing
-   * one weight does not change the relative order of the other hosts. With equal weights the result
-   * is the order of the hash alone.
-   */
-  private void sortByWeightedRendezvous(long seed) {
-    Map<Host, Double> distances = new IdentityHashMap<>();
-    for (Host host : walk) {
-      long hash = BitMixer.mix(seed + host.id());
-      double uniform = ((hash >> DROPPED_BITS) + TWO_TO_52 + 0.5) * TWO_TO_MINUS_53;
-      double weight = host.entry.weight();
-      distances.put(host, weight > 0 ? -Math.log(1 - uniform) / weight : Double.POSITIVE_INFINITY);
+  /** Creates a function without estimates. */
+  FunctionState(long id, EstimateCounter counter) {
+    this.id = id;
+    this.counter = counter;
+  }
+
+  /** Whether an instance of the function is believed to be loaded, or was until it expired. */
+  boolean hasLoadedInstance() {
+    for (InstanceEstimate estimate : estimates) {
+      if (estimate.instances > 0) {
+        return true;
+      }
     }
-    Arrays.sort(walk, Comparator.comparingDouble(distances::get));
+    return false;
   }
 
   /** Returns whether an invocation of the function is queued or in flight. */
@@ -102,11 +72,40 @@
   }
 
   /** Removes the estimates for all hosts. */
-  public void forgetEstimates() {
+  void forgetEstimates() {
     estimates.forEach(estimate -> estimate.host.functions.remove(this));
+    counter.count -= estimates.size();
     estimates.clear();
   }
 
+  /** Removes the estimate for the host, which removes its reference to the function itself. */
+  void forgetEstimateAt(Host host) {
+    if (estimates.removeIf(estimate -> estimate.host == host)) {
+      counter.count--;
+    }
+  }
+
+  /**
+   * Removes the least recently used estimate that has no invocation in flight, other than the one
+   * in use; returns whether there was one.
+   */
+  boolean forgetOldestIdleEstimate(InstanceEstimate inUse) {
+    InstanceEstimate oldest = null;
+    for (InstanceEstimate estimate : estimates) {
+      if (estimate != inUse
+          && estimate.inFlight == 0
+          && (oldest == null || estimate.lastUsedAt.isBefore(oldest.lastUsedAt))) {
+        oldest = estimate;
+      }
+    }
+    if (oldest == null) {
+      return false;
+    }
+    oldest.host.functions.remove(this);
+    forgetEstimateAt(oldest.host);
+    return true;
+  }
+
   /** Returns the estimate for the host, or null if there is none. */
   public InstanceEstimate estimateAt(Host host) {
     for (InstanceEstimate estimate : estimates) {
@@ -118,11 +117,12 @@
   }
 
   /** Returns the estimate for the host; creates it if there is none. */
-  public InstanceEstimate getOrCreateEstimate(Host host) {
+  InstanceEstimate getOrCreateEstimate(Host host) {
     InstanceEstimate estimate = estimateAt(host);
     if (estimate == null) {
       estimate = new InstanceEstimate(host);
       estimates.add(estimate);
+      counter.count++;
       host.functions.add(this);
     }
     return estimate;
--- a/src/main/java/flintlead/scheduling/state/Host.java
+++ b/src/main/java/flintlead/scheduling/state/Host.java
@@ -90,7 +90,7 @@
 
   /** Removes the estimates of all functions for this host. */
   public void forgetEstimates() {
-    functions.forEach(function -> function.estimates.removeIf(estimate -> estimate.host == this));
+    functions.forEach(function -> function.forgetEstimateAt(this));
     functions.clear();
   }
 }
--- a/src/main/java/flintlead/scheduling/state/SchedulerState.java
+++ b/src/main/java/flintlead/scheduling/state/SchedulerState.java
@@ -4,6 +4,7 @@
 import flintlead.scheduling.api.InvocationSpec;
 import flintlead.scheduling.api.SchedulerContext;
 import flintlead.scheduling.api.SchedulingPolicy.ObservationConsumer;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import java.util.Random;
@@ -19,6 +20,7 @@
   public final Random random;
   public final HostTable hosts;
   public final FunctionTable functions;
+  public final HashWalks hashWalks;
   public final LoadOrders loadOrders = new LoadOrders();
 
   /** Leases that decide whether new work may be sent to a host. */
@@ -31,18 +33,15 @@
   public int loadsInFlight;
 
   /** Creates the state of a gateway that knows no hosts yet. */
-  public SchedulerState(
-      SchedulerContext context,
-      Deployment deployment,
-      long seed,
-      int maxFunctions,
-      int maxDeparted) {
+  public SchedulerState(SchedulerContext context, Deployment deployment, long seed) {
+    StateLimits limits = context.stateLimits();
     this.context = context;
     this.deployment = deployment;
     this.leases = context.leases();
     this.random = new Random(seed);
-    this.hosts = new HostTable(maxDeparted);
-    this.functions = new FunctionTable(maxFunctions);
+    this.hosts = new HostTable(limits.departedHosts());
+    this.functions = new FunctionTable(limits.functions(), limits.estimates());
+    this.hashWalks = new HashWalks(limits.hashWalkHosts());
     this.gateways = Math.max(1, deployment.gateways());
   }
 
@@ -63,7 +62,7 @@
 
   /** Creates an attempt that is sent now and counts it as in flight. */
   public Attempt newAttempt(InvocationState invocation, Host host, boolean warm) {
-    InstanceEstimate estimate = invocation.function.getOrCreateEstimate(host);
+    InstanceEstimate estimate = functions.getOrCreateEstimate(invocation.function, host);
     Attempt attempt = new Attempt(invocation, host, estimate, now(), warm);
     invocation.attempts.add(attempt);
     invocation.attemptsInFlight++;
--- a/src/test/java/flintlead/configuration/haproxy/WeightsTest.java
+++ b/src/test/java/flintlead/configuration/haproxy/WeightsTest.java
@@ -9,7 +9,7 @@
 import flintlead.gateway.InvocationResponse;
 import flintlead.gateway.ScriptedHost;
 import flintlead.scheduling.api.HostEntry;
-import flintlead.scheduling.state.FunctionState;
+import flintlead.scheduling.state.HashWalks;
 import flintlead.scheduling.state.Host;
 import flintlead.time.Moment;
 import flintlead.transport.loop.Address;
@@ -111,6 +111,10 @@
     return ring;
   }
 
+  private static Host[] walk(long function, Host[] hosts) {
+    return new HashWalks(hosts.length).walk(function, hosts);
+  }
+
   /** Where a weight changes, functions move to or from that host only. */
   @Test
   void aChangeOfOneWeightMovesNothingBetweenOthers() {
@@ -118,8 +122,8 @@
     Host[] after = ring(1, 3, 2, 4);
     int moved = 0;
     for (long fn = 0; fn < 5_000; fn++) {
-      long was = new FunctionState(fn).hashWalk(before)[0].id();
-      long is = new FunctionState(fn).hashWalk(after)[0].id();
+      long was = walk(fn, before)[0].id();
+      long is = walk(fn, after)[0].id();
       moved += was == is ? 0 : 1;
       assertTrue(was == is || is == before[1].id(), "to the heavier one only");
     }
@@ -129,14 +133,10 @@
   @Test
   void evenWeightsLeaveTheWalkAsItWas() {
     for (long fn = 0; fn < 200; fn++) {
-      List<Long> ones =
-          Arrays.stream(new FunctionState(fn).hashWalk(ring(1, 1, 1, 1, 1))).map(Host::id).toList();
-      List<Long> sevens =
-          Arrays.stream(new FunctionState(fn).hashWalk(ring(7, 7, 7, 7, 7))).map(Host::id).toList();
+      List<Long> ones = Arrays.stream(walk(fn, ring(1, 1, 1, 1, 1))).map(Host::id).toList();
+      List<Long> sevens = Arrays.stream(walk(fn, ring(7, 7, 7, 7, 7))).map(Host::id).toList();
       List<Long> nearly =
-          Arrays.stream(new FunctionState(fn).hashWalk(ring(1, 1, 1, 1, 1 + 1e-12)))
-              .map(Host::id)
-              .toList();
+          Arrays.stream(walk(fn, ring(1, 1, 1, 1, 1 + 1e-12))).map(Host::id).toList();
       assertEquals(ones, sevens);
       assertEquals(ones, nearly, "weights that hardly differ hardly change anything");
     }
--- a/src/test/java/flintlead/platform/MemoryLimitTest.java
+++ b/src/test/java/flintlead/platform/MemoryLimitTest.java
@@ -75,4 +75,39 @@
     sendOnNewConnections(120, HEAD + "Content-Length: 16000\r\n\r\n" + "x".repeat(15_990));
     assertServes(201, 10);
   }
+
+  /** Adds hosts to the list that all have the address of the first one. */
+  private void listHosts(int count) throws IOException {
+    String[] endpoints = new String[count];
+    for (int i = 0; i < count; i++) {
+      endpoints[i] = fixture.hosts.get(0).endpoint("active").replace("s-0", "s-" + (1_000 + i));
+    }
+    fixture.journal.add(true, endpoints);
+  }
+
+  /** The scheduler kept an order of all hosts for each function that a client had named. */
+  @Test
+  void functionsThatNobodyKnowsDoNotExhaustTheHeap() throws Exception {
+    start(SMALL_HEAP_MB);
+    listHosts(600);
+    FakeHost host = fixture.hosts.get(0);
+    host.script =
+        (self, from, words, body) ->
+            self.answer(
+                from, words[1] + (words[2].contains("item=00") ? " 200 - " : " 500 - "), body);
+    try (TestClient scan = fixture.client();
+        TestClient usual = fixture.client()) {
+      for (int i = 0; i < 6_000 && process.isAlive(); i++) {
+        String unknown = String.format("ff%014x", i);
+        String request = PlatformFixture.invocationRequest(i, "x");
+        int status = scan.send(request.replace("00000000000000aa", unknown)).response().status();
+        assertTrue(status == 500 || status == 503, status + ": " + process.log);
+        if (i % 100 == 0) {
+          usual.send(PlatformFixture.invocationRequest(100_000 + i, "x"));
+          assertEquals(200, usual.response().status(), process.log.toString());
+        }
+      }
+    }
+    assertServes(200_001, 10);
+  }
 }
