Fake hosts and journals listen on ports that outgoing connections do not get

DiscoveryOutageTest failed with a BindException, once today and on 3 December: its rig closes a host's port and listens on it again, and an outgoing connection of a concurrent play had been given the port meanwhile. Free ports are now taken from below the system's range for outgoing connections. No check is changed.

--- a/src/test/java/flintlead/platform/FakeHost.java
+++ b/src/test/java/flintlead/platform/FakeHost.java
@@ -4,7 +4,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -91,7 +90,7 @@
   }
 
   private static ServerSocket bind(int port, int backlog) throws IOException {
-    return new ServerSocket(port, backlog, InetAddress.getByName("127.0.0.1"));
+    return TestIo.listen(port, backlog);
   }
 
   /** Accepts connections from now on, including those that wait in the queue. */
--- a/src/test/java/flintlead/platform/FakeJournal.java
+++ b/src/test/java/flintlead/platform/FakeJournal.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -67,9 +66,7 @@
   }
 
   private void listen(int at) throws IOException {
-    ServerSocket listening = new ServerSocket();
-    listening.setReuseAddress(true);
-    listening.bind(new java.net.InetSocketAddress(InetAddress.getByName("127.0.0.1"), at), BACKLOG);
+    ServerSocket listening = TestIo.listen(at, BACKLOG);
     server = listening;
     TestIo.inBackground(
         () -> {
