Release the body of a repeated invocation with its answer, not at its window's end

Cause: the timer that withdraws a queued repeat at the end of the key's window was never cancelled and held the invocation with its body; admission counted the body until the answer only. Change: the end of an attempt cancels its timers, a body is released with the answer, and an invocation counts 2 KiB beside its body.

Evidence: MemoryLimitTest.bodiesOfRepeatedInvocationsAreReleasedWithTheirAnswer (window 60 s, 1,500 requests, heap 16 MB) failed before, as the process ended, and passes.

--- a/src/main/java/flintlead/platform/AttemptRunner.java
+++ b/src/main/java/flintlead/platform/AttemptRunner.java
@@ -59,14 +59,15 @@
       endLater(attempt, Outcome.CONNECT_FAILED);
       return;
     }
-    Runnable cancelTimer = loop.scheduleAt(abandonAt, () -> withdraw(attempt, Outcome.TIMEOUT));
+    attempt.addTimer(loop.scheduleAt(abandonAt, () -> withdraw(attempt, Outcome.TIMEOUT)));
     TriggerType type = deployment.triggerTypes().get(invocation.triggerType());
     if (previous != null && type.effect() == TriggerType.Effect.TOKENED) {
       // Hosts forget the idempotency key after the window. A retry that is still queued by then
       // must not be sent, as it could run the invocation a second time.
-      loop.scheduleAt(attempts.get(0).startedAt().plus(type.window()), attempt::withdrawIfQueued);
+      Moment windowEnd = attempts.get(0).startedAt().plus(type.window());
+      attempt.addTimer(loop.scheduleAt(windowEnd, attempt::withdrawIfQueued));
     }
-    attempt.start(cancelTimer);
+    attempt.start();
   }
 
   /** Cancels an attempt that the scheduler no longer needs. */
--- a/src/main/java/flintlead/platform/HostAttempt.java
+++ b/src/main/java/flintlead/platform/HostAttempt.java
@@ -9,6 +9,8 @@
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * One attempt to run an invocation on a host. Gets exactly one outcome. Used on the event loop
@@ -28,7 +30,9 @@
   /** The time limit that was sent to the host; set when the attempt is written. */
   private Span grantedTime = Span.ZERO;
 
-  private Runnable abandonTimer = () -> {};
+  /** Cancel the timers of the attempt, which hold the invocation with its body until they run. */
+  private final List<Runnable> timerCancellations = new ArrayList<>(2);
+
   private Outcome outcome;
 
   /**
@@ -81,23 +85,24 @@
     return outcome == Outcome.OK;
   }
 
-  /** Sets the outcome and cancels the timer; returns false if there is an outcome already. */
+  /** Sets the outcome and cancels the timers; returns false if there is an outcome already. */
   boolean finish(Outcome result) {
     if (outcome != null) {
       return false;
     }
     outcome = result;
-    abandonTimer.run();
+    timerCancellations.forEach(Runnable::run);
+    timerCancellations.clear();
     return true;
   }
 
-  /**
-   * Passes the attempt to the host's connection pool.
-   *
-   * @param cancelTimer cancels the timer that abandons the attempt
-   */
-  void start(Runnable cancelTimer) {
-    abandonTimer = cancelTimer;
+  /** Adds what cancels a timer of the attempt; run when the attempt ends. */
+  void addTimer(Runnable cancel) {
+    timerCancellations.add(cancel);
+  }
+
+  /** Passes the attempt to the host's connection pool. */
+  void start() {
     pool.submit(this);
   }
 
--- a/src/main/java/flintlead/platform/InvocationRegistry.java
+++ b/src/main/java/flintlead/platform/InvocationRegistry.java
@@ -19,6 +19,9 @@
  */
 final class InvocationRegistry {
 
+  /** Heap of an invocation with its attempts, without the body. */
+  private static final int INVOCATION_BYTES = 2_048;
+
   private final EventExecutor loop;
   private final AdmissionController admission;
   private final InvocationGuard guard;
@@ -72,7 +75,7 @@
    * @return whether it was admitted
    */
   boolean admit(AdmissionController.Source source, int bytes) {
-    return admission.tryAdmit(source, bytes);
+    return admission.tryAdmit(source, INVOCATION_BYTES + bytes);
   }
 
   /**
@@ -80,7 +83,7 @@
    * or discarded.
    */
   void add(PendingInvocation invocation, AdmissionController.Source source) {
-    int bytes = invocation.body().length;
+    int bytes = INVOCATION_BYTES + invocation.body().length;
     invocations.put(invocation.id(), invocation);
     responses.register(
         invocation.id(),
@@ -124,14 +127,16 @@
   }
 
   /**
-   * If the invocation no longer needs a response, withdraws its attempts that are still queued, and
-   * removes the invocation once its attempts have ended and the scheduler has finished with it.
+   * If the invocation no longer needs a response, withdraws its attempts that are still queued,
+   * releases its body, and removes the invocation once its attempts have ended and the scheduler
+   * has finished with it.
    */
   void releaseIfFinished(PendingInvocation invocation) {
     if (isOpen(invocation)) {
       return;
     }
     invocation.withdrawQueuedAttempts();
+    invocation.releaseBody();
     if (invocation.isFinished()) {
       invocations.remove(invocation.id());
       logUnlessRoutine(invocation);
--- a/src/main/java/flintlead/platform/PendingInvocation.java
+++ b/src/main/java/flintlead/platform/PendingInvocation.java
@@ -14,9 +14,11 @@
  */
 final class PendingInvocation {
 
+  private static final byte[] NO_BODY = {};
+
   private final InvocationHandler.Invocation request;
   private final String triggerTypeName;
-  private final byte[] body;
+  private byte[] body;
   private final InvocationHandler.ResponseCallback client;
   private final InvocationRecord record;
   private final List<HostAttempt> attempts = new ArrayList<>(2);
@@ -26,7 +28,7 @@
    * Creates an invocation that has not been submitted to the scheduler yet.
    *
    * @param triggerTypeName name of the trigger type in the host protocol
-   * @param body kept, without a copy, until the invocation is removed
+   * @param body kept, without a copy, until {@link #releaseBody}
    * @param client receives the response
    * @param record the guard's record of the invocation
    */
@@ -91,6 +93,11 @@
     return body;
   }
 
+  /** Releases the body: no attempt will be written any more, although some may not have ended. */
+  void releaseBody() {
+    body = NO_BODY;
+  }
+
   /** Returns its attempts, in the order in which the scheduler requested them. */
   List<HostAttempt> attempts() {
     return attempts;
--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -50,9 +50,6 @@
   private static final int MIN_HOST_CONNECTIONS = 8;
   private static final int MAX_RESPONSE_BODY_BYTES = 64 * 1024;
 
-  /** Fraction of the heap that request bodies may use. */
-  private static final double BODY_HEAP_FRACTION = 0.125;
-
   /**
    * Disables the limit on the share of a source: a connection has only one invocation at a time.
    */
@@ -202,10 +199,10 @@
         settings.span("rules.drain_grace"));
   }
 
-  private static AdmissionController.Limits admissionBounds(int maxClients) {
-    long bodyBytes = (long) (Runtime.getRuntime().maxMemory() * BODY_HEAP_FRACTION);
+  private AdmissionController.Limits admissionBounds(int maxClients) {
+    long bytes = memory.invocationBytes();
     return new AdmissionController.Limits(
-        maxClients, bodyBytes, UNLIMITED_SHARE, 1, bodyBytes, 1, 1, UNREAD_RESPONSE_TIMEOUT);
+        maxClients, bytes, UNLIMITED_SHARE, 1, bytes, 1, 1, UNREAD_RESPONSE_TIMEOUT);
   }
 
   private static InvocationRequestParser requestParser(
--- a/src/main/java/flintlead/routing/admission/MemoryBudget.java
+++ b/src/main/java/flintlead/routing/admission/MemoryBudget.java
@@ -16,6 +16,7 @@
   private static final double MIN_STATE_FRACTION = 0.25;
 
   private static final double SCHEDULER_FRACTION = 0.14;
+  private static final double INVOCATION_FRACTION = 0.15;
   private static final double RECEIVED_FRACTION = 0.07;
 
   private long share(double fraction) {
@@ -23,6 +24,11 @@
     return (long) (state * fraction);
   }
 
+  /** Bytes of the invocations in progress, with their bodies. */
+  public long invocationBytes() {
+    return share(INVOCATION_FRACTION);
+  }
+
   /** Bytes of what the scheduler remembers of functions, and of hosts that have left. */
   public long schedulerBytes() {
     return share(SCHEDULER_FRACTION);
--- a/src/test/java/flintlead/platform/MemoryLimitTest.java
+++ b/src/test/java/flintlead/platform/MemoryLimitTest.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -24,6 +26,8 @@
   private static final String HEAD =
       "POST /call/00000000000000aa/fire HTTP/1.1\r\nHost: api\r\nX-Class: check\r\n";
 
+  private static final String LONG_WINDOW = "\"window\":60000000";
+
   @TempDir private Path folder;
   private final List<TestClient> clients = new ArrayList<>();
   private PlatformFixture fixture;
@@ -110,4 +114,39 @@
     }
     assertServes(200_001, 10);
   }
+
+  /**
+   * The timer at the end of a key's window held the bodies of keyed invocations that had been
+   * repeated, and had their answer, until the window was over.
+   */
+  @Test
+  void bodiesOfRepeatedInvocationsAreReleasedWithTheirAnswer() throws Exception {
+    fixture = new PlatformFixture(1, DESCRIPTORS).withSetting("\"window\":2000000", LONG_WINDOW);
+    FakeHost second = fixture.anotherHost("s-second", 0);
+    fixture.journal.add(false, second.endpoint("active"));
+    process = new PlatformProcess(fixture, folder, DESCRIPTORS, SMALL_HEAP_MB);
+    fixture.port = process.awaitPort();
+    Set<String> resetOnce = ConcurrentHashMap.newKeySet();
+    FakeHost.Script resetFirst =
+        (self, from, words, body) -> {
+          if (resetOnce.add(words[1])) {
+            from.setSoLinger(true, 0);
+            from.close();
+          } else {
+            self.answer(from, words[1] + " 200 - ", new byte[0]);
+          }
+        };
+    fixture.hosts.forEach(host -> host.script = resetFirst);
+    String body = "x".repeat(16_000);
+    int answered = 0;
+    try (TestClient client = fixture.client()) {
+      for (int id = 1; id <= 1_500 && process.isAlive(); id++) {
+        String headers = "X-Class: lodge\r\nX-Ttl-Ms: 1360\r\nX-Txn-Key: k" + id + "\r\n";
+        client.send(PlatformFixture.invocationRequest(id, headers, body));
+        answered += client.response().status() == 200 ? 1 : 0;
+      }
+    }
+    assertTrue(process.isAlive(), process.log.toString());
+    assertTrue(answered > 1_000, "answered " + answered);
+  }
 }
