Bound what partial responses of all hosts keep

Nothing bounded what hosts can make the gateway keep by responses that they never end: 64 KiB for each of up to 439 connections, 28 MB where the heap may be 8 to 64 MB.

Change: partial responses of all connections share a part of the heap; above it, the one that began first ends its connection, as a malformed one does (its request may have run). Hosts write a response at once, so usual ones are never the oldest for long. ConnectionPoolTest.theOldestPartialResponseIsDiscardedAtTheMemoryLimit fails with the check taken out and passes.

--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -189,11 +189,12 @@
         log);
   }
 
-  private static HostConnectionLimits hostLimits(StartupSettings settings, int descriptors) {
+  private HostConnectionLimits hostLimits(StartupSettings settings, int descriptors) {
     return new HostConnectionLimits(
         Math.max(MIN_HOST_CONNECTIONS, descriptors),
         Math.max(1, (int) settings.number("limits.max_streams")),
         MAX_RESPONSE_BODY_BYTES,
+        memory.hostResponseBytes(),
         settings.span("limits.dial_timeout"),
         settings.span("limits.conn_idle"),
         settings.span("rules.drain_grace"));
--- a/src/main/java/flintlead/platform/upstream/ConnectionPool.java
+++ b/src/main/java/flintlead/platform/upstream/ConnectionPool.java
@@ -263,6 +263,10 @@
     sendQueued();
   }
 
+  void recordPartialResponse(HostConnection connection, int bytes) {
+    pools.recordPartialResponse(connection, bytes);
+  }
+
   void logMalformedResponse(String reason) {
     pools.logMalformedResponse(hostName, reason);
   }
--- a/src/main/java/flintlead/platform/upstream/ConnectionPools.java
+++ b/src/main/java/flintlead/platform/upstream/ConnectionPools.java
@@ -1,5 +1,6 @@
 package flintlead.platform.upstream;
 
+import flintlead.routing.admission.SharedByteLimit;
 import flintlead.routing.guard.HostSendGuard;
 import flintlead.time.Moment;
 import flintlead.time.Span;
@@ -43,6 +44,7 @@
    */
   private final List<ConnectionPool> removed = new ArrayList<>();
 
+  private final SharedByteLimit<HostConnection> partialResponses;
   private int connections;
   private int deferredSends;
 
@@ -64,6 +66,7 @@
     this.transport = transport;
     this.guard = guard;
     this.log = log;
+    this.partialResponses = new SharedByteLimit<>(limits.partialResponseBytes());
     this.budget = new ConnectionBudget(limits.maxConnections(), MAX_CONNECTS_PER_SECOND);
     RepeatingTask.start(loop, MAINTENANCE_INTERVAL, this::maintain);
   }
@@ -147,6 +150,17 @@
     return transport;
   }
 
+  /**
+   * Records the memory that a partial response occupies. Above the limit, the partial responses
+   * that began first end their connections: hosts write a response at once.
+   */
+  void recordPartialResponse(HostConnection connection, int bytes) {
+    partialResponses.record(connection, bytes);
+    while (partialResponses.isExceeded()) {
+      partialResponses.longestHolder().discardPartialResponse();
+    }
+  }
+
   void logMalformedResponse(String hostName, String reason) {
     log.atWarn()
         .addKeyValue("host", hostName)
--- a/src/main/java/flintlead/platform/upstream/HostConnection.java
+++ b/src/main/java/flintlead/platform/upstream/HostConnection.java
@@ -187,6 +187,7 @@
     if (state != ConnectionState.CLOSED) {
       become(ConnectionState.CLOSED);
       parser.end();
+      pool.recordPartialResponse(this, 0);
       stream.close();
       pool.closed(this, List.of(), CloseReason.CLOSED_LOCALLY);
     }
@@ -213,12 +214,21 @@
     }
   }
 
+  /**
+   * Ends the connection because the partial responses of all hosts occupy too much memory. What it
+   * was to answer may have run.
+   */
+  void discardPartialResponse() {
+    malformed("partial responses of all hosts exceed their memory");
+  }
+
   private void end(CloseReason reason) {
     if (state == ConnectionState.CLOSED) {
       return;
     }
     become(ConnectionState.CLOSED);
     parser.end();
+    pool.recordPartialResponse(this, 0);
     stream.abort();
     List<Request> unanswered = new ArrayList<>(inFlight.values());
     inFlight.clear();
@@ -252,6 +262,7 @@
     if (state != ConnectionState.CLOSED) {
       pool.received();
     }
+    pool.recordPartialResponse(this, parser.heldBytes());
   }
 
   @Override
--- a/src/main/java/flintlead/platform/upstream/HostResponseParser.java
+++ b/src/main/java/flintlead/platform/upstream/HostResponseParser.java
@@ -81,9 +81,15 @@
     return !ended && (firstLine != null || partial.isReadable());
   }
 
-  /** Stops parsing; further input is ignored. */
+  /** Bytes that an incomplete response occupies. */
+  public int heldBytes() {
+    return partial.capacity();
+  }
+
+  /** Stops parsing and releases an incomplete response; further input is ignored. */
   public void end() {
     ended = true;
+    partial = Unpooled.EMPTY_BUFFER;
   }
 
   /** Parses one response; returns false if it is incomplete or malformed. */
--- a/src/main/java/flintlead/routing/admission/MemoryBudget.java
+++ b/src/main/java/flintlead/routing/admission/MemoryBudget.java
@@ -18,6 +18,8 @@
   private static final double SCHEDULER_FRACTION = 0.14;
   private static final double INVOCATION_FRACTION = 0.15;
   private static final double RECEIVED_FRACTION = 0.07;
+  private static final double HOST_RESPONSE_FRACTION = 0.065;
+  private static final double UNREAD_FRACTION = 0.065;
 
   private long share(double fraction) {
     double state = Math.max(heapBytes - FIXED_BYTES, heapBytes * MIN_STATE_FRACTION);
@@ -38,4 +40,14 @@
   public long receivedBytes() {
     return share(RECEIVED_FRACTION);
   }
+
+  /** Bytes of responses that hosts have sent in part. */
+  public long hostResponseBytes() {
+    return share(HOST_RESPONSE_FRACTION);
+  }
+
+  /** Bytes of responses that clients have not read. */
+  public long unreadBytes() {
+    return share(UNREAD_FRACTION);
+  }
 }
--- a/src/test/java/flintlead/golden/HostLinesTest.java
+++ b/src/test/java/flintlead/golden/HostLinesTest.java
@@ -32,7 +32,7 @@
 
   private static final HostConnectionLimits TERMS =
       new HostConnectionLimits(
-          8, 4, 1_000, Span.ofMillis(500), Span.ofMillis(5_000), Span.ofMillis(1_000));
+          8, 4, 1_000, 1_000, Span.ofMillis(500), Span.ofMillis(5_000), Span.ofMillis(1_000));
 
   @TempDir Path folder;
 
--- a/src/test/java/flintlead/platform/upstream/ConnectionPoolTest.java
+++ b/src/test/java/flintlead/platform/upstream/ConnectionPoolTest.java
@@ -31,7 +31,13 @@
   private final ConnectionPools pools =
       new ConnectionPools(
           new HostConnectionLimits(
-              100, 10, 1_000, Span.ofMillis(250), Span.ofMillis(15_000), Span.ofMillis(1_000)),
+              100,
+              10,
+              1_000,
+              1_000,
+              Span.ofMillis(250),
+              Span.ofMillis(15_000),
+              Span.ofMillis(1_000)),
           transport,
           transport,
           HostSendGuard.ofAuthoritativeList(new InvariantMonitor((invariant, id, detail) -> {})),
@@ -323,4 +329,22 @@
     submit(pools.get(1), "c");
     assertEquals(2, connections.size());
   }
+
+  /** Hosts that never ended their responses made the gateway keep 64 KiB for each connection. */
+  @Test
+  void theOldestPartialResponseIsDiscardedAtTheMemoryLimit() {
+    ConnectionPool pool = pool();
+    submit(pool, "a");
+    submit(pool, "b");
+    connections.get(0).open();
+    connections.get(1).open();
+    String rest = "x".repeat(600);
+    connections.get(0).receive("a 200 - 900\r\n" + "x".repeat(300));
+    connections.get(0).receive(rest.substring(1));
+    connections.get(1).receive("b 200 - 900\r\n" + "x".repeat(300));
+    assertEquals(List.of(new Ended("a", Outcome.CONNECTION_LOST)), outcomes);
+    connections.get(1).receive(rest + "\r\n");
+    assertEquals(
+        List.of(new Ended("a", Outcome.CONNECTION_LOST), new Ended("b", Outcome.OK)), outcomes);
+  }
 }
--- a/src/test/java/flintlead/platform/upstream/HostLeaseRenewalTest.java
+++ b/src/test/java/flintlead/platform/upstream/HostLeaseRenewalTest.java
@@ -40,7 +40,13 @@
   private final ConnectionPools pools =
       new ConnectionPools(
           new HostConnectionLimits(
-              100, 10, 1_000, Span.ofMillis(250), Span.ofMillis(15_000), Span.ofMillis(1_000)),
+              100,
+              10,
+              1_000,
+              1_000,
+              Span.ofMillis(250),
+              Span.ofMillis(15_000),
+              Span.ofMillis(1_000)),
           transport,
           transport,
           guard,
