Bound what clients leave unread of their responses, over all connections

A client that reads nothing was disconnected after 3 s, but until then kept as much as it asked for, as did any number of others.

Change: responses are handed to the kernel at once; what remains counts, and above a part of the heap the connection that has had some unread for the longest time is closed, also where it already waits for its last response to be read. HttpFrontTest.theClientThatLeavesResponsesUnreadIsDisconnectedAtTheMemoryLimit fails with the check taken out and passes.

--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -144,7 +144,7 @@
             loop,
             gateway.invocations(),
             parser,
-            new HttpFront.Limits(maxClients, memory.receivedBytes()),
+            new HttpFront.Limits(maxClients, memory.receivedBytes(), memory.unreadBytes()),
             gateway.counters(),
             log);
     loop.onStandstill(this::recordStall);
--- a/src/main/java/flintlead/platform/downstream/ClientConnection.java
+++ b/src/main/java/flintlead/platform/downstream/ClientConnection.java
@@ -114,9 +114,15 @@
     if (releaseResources()) {
       front.closedByClient();
     }
+    front.recordUnread(this, 0);
     front.streamClosed();
   }
 
+  @Override
+  public void flushed() {
+    front.recordUnread(this, stream.pendingBytes());
+  }
+
   // ---- requests ----
 
   @Override
@@ -239,6 +245,9 @@
     timeouts.responseWritten(front.now());
     boolean last = !hasPendingRefusals() && (!keepAlive || inputEnded || front.isDraining());
     stream.write(front.responseWriter().encode(status, body, last, header, value));
+    // Handed to the kernel at once: what then remains is what the client does not read.
+    stream.flush();
+    front.recordUnread(this, stream.pendingBytes());
     if (last && releaseResources()) {
       front.reportClosed(CloseCause.LAST_RESPONSE);
       stream.closeGracefully();
@@ -319,6 +328,18 @@
     }
   }
 
+  /**
+   * Closes the connection at once, because the unread responses of all connections occupy too much
+   * memory. It may already wait for its last response to be read.
+   */
+  void discardUnread() {
+    if (isClosed()) {
+      stream.abort();
+    } else {
+      abort(CloseCause.RESPONSE_UNREAD);
+    }
+  }
+
   private void reportUnanswered(CloseCause cause) {
     if (state == ClientState.BUSY && !cause.mayLeaveUnanswered()) {
       front.handler().closedUnanswered(invocationId, cause);
--- a/src/main/java/flintlead/platform/downstream/HttpFront.java
+++ b/src/main/java/flintlead/platform/downstream/HttpFront.java
@@ -54,6 +54,7 @@
   private final InvocationRequestParser parser;
   private final ConnectionLimiter<ClientConnection> limiter;
   private final SharedByteLimit<ClientConnection> received;
+  private final SharedByteLimit<ClientConnection> unread;
   private final ResponseWriter responseWriter = new ResponseWriter();
   private final Logger log;
   private final Events events;
@@ -71,8 +72,9 @@
    *
    * @param connections connections that may be open at once
    * @param receivedBytes bytes of requests received in part that all connections may keep together
+   * @param unreadBytes bytes of responses that clients have not read, over all connections
    */
-  public record Limits(int connections, long receivedBytes) {}
+  public record Limits(int connections, long receivedBytes, long unreadBytes) {}
 
   /** Receives notifications of closed connections. */
   public interface Events {
@@ -109,6 +111,7 @@
     this.parser = parser;
     this.limiter = new ConnectionLimiter<>(limits.connections(), MIN_IDLE_BEFORE_CLOSE);
     this.received = new SharedByteLimit<>(limits.receivedBytes());
+    this.unread = new SharedByteLimit<>(limits.unreadBytes());
     this.events = events;
     this.log = log;
   }
@@ -269,6 +272,19 @@
     }
   }
 
+  /**
+   * Records the bytes of responses that the connection's client has not read. Above the limit, the
+   * connections whose clients have left some unread for the longest time are closed.
+   */
+  void recordUnread(ClientConnection connection, long bytes) {
+    unread.record(connection, bytes);
+    while (unread.isExceeded()) {
+      ClientConnection longest = unread.longestHolder();
+      unread.record(longest, 0);
+      longest.discardUnread();
+    }
+  }
+
   /** Whether each connection closes after its next response. */
   boolean isDraining() {
     return draining;
--- a/src/test/java/flintlead/golden/PlatformFrontWireTest.java
+++ b/src/test/java/flintlead/golden/PlatformFrontWireTest.java
@@ -120,7 +120,7 @@
             loop,
             taker,
             reader,
-            new HttpFront.Limits(16, 1 << 20),
+            new HttpFront.Limits(16, 1 << 20, 1 << 20),
             new HttpFront.Events() {
               @Override
               public void connectionClosed(CloseCause cause) {
--- a/src/test/java/flintlead/platform/downstream/HttpFrontTest.java
+++ b/src/test/java/flintlead/platform/downstream/HttpFrontTest.java
@@ -10,6 +10,7 @@
 import flintlead.transport.loop.PollClock;
 import flintlead.transport.netty.NettyEventLoop;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -39,6 +40,7 @@
 
   private final NettyEventLoop loop = new NettyEventLoop("front");
   private final SilentHandler handler = new SilentHandler();
+  private final List<CloseCause> closes = new CopyOnWriteArrayList<>();
   private final AtomicInteger timers = new AtomicInteger();
   private final AtomicInteger partialRequestsRefused = new AtomicInteger();
 
@@ -47,10 +49,11 @@
     loop.close();
   }
 
-  /** Accepts invocations and responds to none. */
+  /** Accepts invocations; responds to them only if there is a response body. */
   private static final class SilentHandler implements InvocationHandler {
     final List<Long> submitted = new CopyOnWriteArrayList<>();
     final List<String> notifications = new CopyOnWriteArrayList<>();
+    volatile byte[] responseBody;
 
     @Override
     public boolean isOpen(long invocation) {
@@ -61,6 +64,9 @@
     public void submit(
         Invocation invocation, ByteBuf body, Moment earliestArrival, ResponseCallback client) {
       submitted.add(invocation.id());
+      if (responseBody != null) {
+        client.succeeded(Unpooled.wrappedBuffer(responseBody));
+      }
     }
 
     @Override
@@ -82,7 +88,9 @@
   /** Ignores all notifications. */
   private final class NoEvents implements HttpFront.Events {
     @Override
-    public void connectionClosed(CloseCause cause) {}
+    public void connectionClosed(CloseCause cause) {
+      closes.add(cause);
+    }
 
     @Override
     public void closedByClient() {}
@@ -143,7 +151,7 @@
         loop,
         handler,
         parser,
-        new HttpFront.Limits(MAX_CONNECTIONS, receivedBytes),
+        new HttpFront.Limits(MAX_CONNECTIONS, receivedBytes, 1 << 20),
         new NoEvents(),
         NOPLogger.NOP_LOGGER);
   }
@@ -228,4 +236,34 @@
       client.close();
     }
   }
+
+  /** Responses that clients did not read were kept for 3 s, whatever they took together. */
+  @Test
+  void theClientThatLeavesResponsesUnreadIsDisconnectedAtTheMemoryLimit() throws Exception {
+    Address.Tcp address =
+        (Address.Tcp) front(RECEIVED_BYTES).listen(new Address.Tcp("127.0.0.1", 0));
+    handler.responseBody = new byte[64 * 1024];
+    try (Socket slow = new Socket("127.0.0.1", address.port())) {
+      Thread sender =
+          new Thread(
+              () -> {
+                try {
+                  for (int i = 0; i < 1_000; i++) {
+                    slow.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+                  }
+                } catch (IOException e) {
+                  // The gateway has closed the connection.
+                }
+              });
+      sender.start();
+      await()
+          .atMost(Duration.ofMillis(2_500))
+          .until(() -> closes.equals(List.of(CloseCause.RESPONSE_UNREAD)));
+      sender.join();
+    }
+    try (Socket usual = new Socket("127.0.0.1", address.port())) {
+      usual.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+      assertEquals("HTTP/1.1 200 OK", statusLine(usual));
+    }
+  }
 }
