End a closing stream after 3 s when its peer does not read what was written

A connection that closes after its last response waited without end for a client that did not read it, with the response and its descriptor, outside of all limits.

Change: a stream that closes with bytes unsent is aborted after 3 s. It works for both gateways, as both close their streams there. HttpFrontTest.aLastResponseThatIsNeverReadDoesNotKeepItsConnection fails with the timeout taken out (6 s) and passes.

--- a/src/main/java/flintlead/transport/netty/NettyStream.java
+++ b/src/main/java/flintlead/transport/netty/NettyStream.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** One Netty channel as a {@link Stream}; all calls on its event loop. */
@@ -25,6 +26,9 @@
   /** How long a peer may take to end its side after this one. */
   private static final long LINGER_MILLIS = 500;
 
+  /** How long a closing stream may wait for its peer to read what was written. */
+  private static final long CLOSE_TIMEOUT_MILLIS = 3_000;
+
   private static final long NOT_ACCEPTED = Long.MIN_VALUE;
 
   private final NettyEventLoop loop;
@@ -191,6 +195,7 @@
   public void close() {
     if (!ended && channel.isActive()) {
       channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+      abortIfNotRead();
     } else {
       closeChannel();
     }
@@ -222,6 +227,16 @@
                     closeChannel();
                   }
                 });
+    abortIfNotRead();
+  }
+
+  /** A peer that does not read must not keep a stream that closes, with all that is unsent. */
+  private void abortIfNotRead() {
+    if (channel.isOpen() && pendingBytes() > 0) {
+      Future<?> timeout =
+          channel.eventLoop().schedule(this::abort, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+      channel.closeFuture().addListener(closed -> timeout.cancel(false));
+    }
   }
 
   @Override
--- a/src/test/java/flintlead/platform/downstream/HttpFrontTest.java
+++ b/src/test/java/flintlead/platform/downstream/HttpFrontTest.java
@@ -14,14 +14,17 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -36,6 +39,7 @@
           + "X-Class: check\r\nX-Merchant: mill\r\nX-Ttl-Ms: 1000\r\nContent-Length: 0\r\n\r\n";
 
   private static final int MAX_CONNECTIONS = 8;
+  private static final int SMALL_BUFFER_BYTES = 4_096;
   private static final int RECEIVED_BYTES = 15_000;
 
   private final NettyEventLoop loop = new NettyEventLoop("front");
@@ -266,4 +270,29 @@
       assertEquals("HTTP/1.1 200 OK", statusLine(usual));
     }
   }
+
+  /** A client that never read its last response kept its connection, which had closed already. */
+  @Test
+  void aLastResponseThatIsNeverReadDoesNotKeepItsConnection() throws Exception {
+    HttpFront front = front(RECEIVED_BYTES);
+    Address.Tcp address = (Address.Tcp) front.listen(new Address.Tcp("127.0.0.1", 0));
+    handler.responseBody = new byte[900 * 1024];
+    String last = REQUEST.replace("Host: api", "Connection: close");
+    try (Socket slow = new Socket()) {
+      slow.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+      slow.connect(new InetSocketAddress("127.0.0.1", address.port()));
+      for (int i = 0; i < 8; i++) {
+        slow.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+      }
+      slow.getOutputStream().write(last.getBytes(StandardCharsets.US_ASCII));
+      await().until(() -> closes.contains(CloseCause.LAST_RESPONSE) || !closes.isEmpty());
+      await().atMost(Duration.ofSeconds(6)).until(() -> onLoop(front::isEmpty));
+    }
+  }
+
+  private boolean onLoop(Supplier<Boolean> query) {
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    loop.execute(() -> result.complete(query.get()));
+    return result.join();
+  }
 }
