Bound listed hosts and connections by the memory, and keep no parsed configuration

Callers saw: with 3,200 hosts and memory_mb 32 the process ended before it listened (Java heap space). Each host took 2.1 KB, half of it the JSON of the configuration, which was kept for ever; hosts and connections had no bound that depends on the memory.

Evidence: MemoryLimitTest.aLargeFleetDoesNotExhaustTheSmallestHeap failed before (process ended) and passes.

--- a/src/main/java/flintlead/platform/HostListUpdater.java
+++ b/src/main/java/flintlead/platform/HostListUpdater.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.slf4j.Logger;
 
 /**
  * Applies changes of the host list to the connection pools first and then to the scheduler. Used on
@@ -17,17 +18,24 @@
 
   private final ConnectionPools pools;
   private final SchedulingPolicy scheduler;
+  private final Logger log;
   private final Set<Long> listed = new TreeSet<>();
 
-  HostListUpdater(ConnectionPools pools, SchedulingPolicy scheduler) {
+  /**
+   * Creates an updater of an empty list.
+   *
+   * @param log receives {@code hosts_ignored}
+   */
+  HostListUpdater(ConnectionPools pools, SchedulingPolicy scheduler, Logger log) {
     this.pools = pools;
     this.scheduler = scheduler;
+    this.log = log;
   }
 
   @Override
   public void hostsReplaced(List<HostEventProcessor.ListedHost> hosts) {
     List<HostEntry> entries = new ArrayList<>();
-    List<Long> missing = new ArrayList<>(listed);
+    Set<Long> missing = new TreeSet<>(listed);
     for (HostEventProcessor.ListedHost host : hosts) {
       entries.add(host.entry());
       missing.remove(host.entry().host());
@@ -43,6 +51,11 @@
     scheduler.updateHosts(hosts.stream().map(HostEventProcessor.ListedHost::entry).toList());
   }
 
+  @Override
+  public void hostsIgnored(int count, int maxHosts) {
+    log.atWarn().addKeyValue("count", count).addKeyValue("limit", maxHosts).log("hosts_ignored");
+  }
+
   private void update(HostEventProcessor.ListedHost host) {
     HostEntry entry = host.entry();
     if (entry.state() == HostEntry.State.GONE) {
--- a/src/main/java/flintlead/platform/PlatformConfig.java
+++ b/src/main/java/flintlead/platform/PlatformConfig.java
@@ -78,6 +78,11 @@
         settings);
   }
 
+  /** The same configuration without the host events, which can be large, once they are applied. */
+  PlatformConfig withoutHostEvents() {
+    return new PlatformConfig(name, listen, seed, memoryMb, sockets, journal, List.of(), settings);
+  }
+
   private static long seed(String text) {
     try {
       return Long.parseUnsignedLong(text, SEED_RADIX);
--- a/src/main/java/flintlead/platform/PlatformGateway.java
+++ b/src/main/java/flintlead/platform/PlatformGateway.java
@@ -83,7 +83,7 @@
     this.invocations =
         new InvocationService(
             loop, registry, guard, context.scheduler(), counters, settings.triggerTypeNames(), log);
-    this.hosts = new HostListUpdater(pools, context.scheduler());
+    this.hosts = new HostListUpdater(pools, context.scheduler(), log);
     invocations.startOverdueChecks();
     RepeatingTask.start(loop, HOST_LIST_CHECK_INTERVAL, () -> leases.notifyListChanges(loop.now()));
     RepeatingTask.start(loop, SUMMARY_INTERVAL, this::logSummary);
--- a/src/main/java/flintlead/platform/PlatformServer.java
+++ b/src/main/java/flintlead/platform/PlatformServer.java
@@ -44,8 +44,8 @@
   /** File descriptors reserved for the JVM and the listening sockets. */
   private static final int RESERVED_DESCRIPTORS = 48;
 
-  /** Fraction of the remaining file descriptors that client connections may use. */
-  private static final double CLIENT_DESCRIPTOR_FRACTION = 0.55;
+  /** Fraction of all connections that clients may use. */
+  private static final double CLIENT_CONNECTION_FRACTION = 0.55;
 
   private static final int MIN_HOST_CONNECTIONS = 8;
   private static final int MAX_RESPONSE_BODY_BYTES = 64 * 1024;
@@ -60,7 +60,7 @@
 
   private final NettyEventLoop loop;
   private final Logger log;
-  private final PlatformConfig configuration;
+  private PlatformConfig configuration;
   private final ConfigurationReloader reloader;
   private final ShutdownTimes shutdownTimes;
   private final MemoryBudget memory = new MemoryBudget(Runtime.getRuntime().maxMemory());
@@ -120,9 +120,10 @@
     StartupSettings settings = configuration.settings();
     Deployment deployment = settings.deployment();
     Random random = new Random(configuration.seed());
-    int descriptors = configuration.sockets() - RESERVED_DESCRIPTORS;
-    int maxClients = (int) (descriptors * CLIENT_DESCRIPTOR_FRACTION);
-    pools = connectionPools(hostLimits(settings, descriptors - maxClients), leaseTerms(settings));
+    int connections =
+        Math.min(configuration.sockets() - RESERVED_DESCRIPTORS, memory.connections());
+    int maxClients = (int) (connections * CLIENT_CONNECTION_FRACTION);
+    pools = connectionPools(hostLimits(settings, connections - maxClients), leaseTerms(settings));
     gateway =
         new PlatformGateway(
             loop,
@@ -136,6 +137,7 @@
                 random.nextLong()),
             log);
     journal = createJournal(settings, pools.guard().leases(), new Random(random.nextLong()));
+    configuration = configuration.withoutHostEvents();
     journal.start();
     InvocationRequestParser parser = requestParser(settings, deployment);
     front =
@@ -175,7 +177,11 @@
     WallClock clock = new WallClock(loop::now, System::currentTimeMillis);
     HostEventProcessor events =
         new HostEventProcessor(
-            settings.textList("dcs"), settings.textList("kinds"), clock::toMoment, gateway.hosts());
+            settings.textList("dcs"),
+            settings.textList("kinds"),
+            clock::toMoment,
+            memory.hosts(),
+            gateway.hosts());
     applyInitialHostEvents(events);
     return new JournalClient(
         configuration.journal(),
@@ -189,9 +195,9 @@
         log);
   }
 
-  private HostConnectionLimits hostLimits(StartupSettings settings, int descriptors) {
+  private HostConnectionLimits hostLimits(StartupSettings settings, int connections) {
     return new HostConnectionLimits(
-        Math.max(MIN_HOST_CONNECTIONS, descriptors),
+        Math.max(MIN_HOST_CONNECTIONS, connections),
         Math.max(1, (int) settings.number("limits.max_streams")),
         MAX_RESPONSE_BODY_BYTES,
         memory.hostResponseBytes(),
--- a/src/main/java/flintlead/platform/journal/HostEventProcessor.java
+++ b/src/main/java/flintlead/platform/journal/HostEventProcessor.java
@@ -5,10 +5,14 @@
 import flintlead.time.Moment;
 import flintlead.transport.loop.Address;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Applies the numbered events of the host list in order. A repeated event is ignored; after a gap,
@@ -24,8 +28,9 @@
    * @param name name of the host in the journal
    * @param address where the host accepts connections
    * @param entry the host as the scheduler sees it
+   * @param start when the host started
    */
-  public record ListedHost(String name, Address address, HostEntry entry) {}
+  public record ListedHost(String name, Address address, HostEntry entry, StartTime start) {}
 
   /** Receives the hosts of each applied event. */
   public interface Listener {
@@ -35,14 +40,18 @@
 
     /** Hosts were added, changed or removed. */
     void hostsUpdated(List<ListedHost> hosts);
+
+    /** An event had this many hosts that are not used, as the list is as long as it may be. */
+    void hostsIgnored(int count, int maxHosts);
   }
 
   /** A host's start time, as given by the journal and as a moment of the gateway's clock. */
-  private record StartTime(long unixMillis, Moment moment) {}
+  public record StartTime(long unixMillis, Moment moment) {}
 
   private final List<String> zones;
   private final List<String> kinds;
   private final Function<Long, Moment> toMoment;
+  private final int maxHosts;
   private final Listener listener;
 
   /**
@@ -58,10 +67,16 @@
    *
    * @param zones names of the zones, in the order of their numbers
    * @param kinds names of the kinds of hosts, in the order of their numbers
+   * @param maxHosts hosts that may be listed at once; further ones are ignored
    * @param toMoment converts Unix milliseconds to a moment of the gateway's clock
    */
   public HostEventProcessor(
-      List<String> zones, List<String> kinds, Function<Long, Moment> toMoment, Listener listener) {
+      List<String> zones,
+      List<String> kinds,
+      Function<Long, Moment> toMoment,
+      int maxHosts,
+      Listener listener) {
+    this.maxHosts = maxHosts;
     this.zones = zones;
     this.kinds = kinds;
     this.toMoment = toMoment;
@@ -91,10 +106,12 @@
     if (isGap(position, snapshot)) {
       return false;
     }
-    List<ListedHost> listed = endpoints(hosts);
+    List<ListedHost> received = endpoints(hosts);
+    List<ListedHost> listed = withinLimit(received, snapshot);
     lastPosition = position;
+    listed.forEach(host -> starts.put(host.entry().host(), host.start()));
     if (snapshot) {
-      starts.keySet().retainAll(listed.stream().map(host -> host.entry().host()).toList());
+      starts.keySet().retainAll(idsOf(listed));
       listener.hostsReplaced(listed);
     } else {
       listener.hostsUpdated(listed);
@@ -102,9 +119,43 @@
     listed.stream()
         .filter(host -> host.entry().state() == HostEntry.State.GONE)
         .forEach(host -> starts.remove(host.entry().host()));
+    if (listed.size() < received.size()) {
+      listener.hostsIgnored(received.size() - listed.size(), maxHosts);
+    }
     return true;
   }
 
+  private static Set<Long> idsOf(List<ListedHost> hosts) {
+    return hosts.stream().map(host -> host.entry().host()).collect(Collectors.toSet());
+  }
+
+  /**
+   * Returns the hosts that the list has room for. Of a whole list these are the ones with the
+   * lowest ids, so that all gateways with the same limit use the same hosts.
+   */
+  private List<ListedHost> withinLimit(List<ListedHost> received, boolean snapshot) {
+    int listedBefore = snapshot ? 0 : starts.size();
+    if (listedBefore + received.size() <= maxHosts) {
+      return received;
+    }
+    if (snapshot) {
+      return received.stream()
+          .sorted(Comparator.comparingLong(host -> host.entry().host()))
+          .limit(maxHosts)
+          .toList();
+    }
+    Set<Long> ids = new HashSet<>(starts.keySet());
+    List<ListedHost> listed = new ArrayList<>();
+    for (ListedHost host : received) {
+      long id = host.entry().host();
+      if (ids.contains(id) || ids.size() < maxHosts) {
+        ids.add(id);
+        listed.add(host);
+      }
+    }
+    return listed;
+  }
+
   /**
    * Whether events before this position are missing. The first event may be a snapshot at any
    * position.
@@ -137,7 +188,7 @@
                   "endpoint " + name + ": status is not active, leaving or left");
         };
     long host = NameHash.host(name);
-    Moment startedAt = startedAt(host, name, endpoint.get("since_ms"));
+    StartTime start = startTime(host, name, endpoint.get("since_ms"));
     double weight = endpoint.get("weight") instanceof Number n ? n.doubleValue() : 1;
     int group = (int) (endpoint.get("group") instanceof Number n ? n.longValue() : 0);
     HostEntry entry =
@@ -147,12 +198,12 @@
             group,
             indexOf(kinds, endpoint.get("type")),
             state,
-            startedAt,
+            start.moment,
             weight);
-    return new ListedHost(name, Address.parseTcp(text(endpoint, "address")), entry);
+    return new ListedHost(name, Address.parseTcp(text(endpoint, "address")), entry, start);
   }
 
-  private Moment startedAt(long host, String name, Object value) {
+  private StartTime startTime(long host, String name, Object value) {
     long since = value == null ? 0 : number(value, "since_ms");
     if (since < 0 || since > MAX_UNIX_MILLIS) {
       throw new IllegalArgumentException(
@@ -161,9 +212,8 @@
     StartTime start = starts.get(host);
     if (start == null || start.unixMillis != since) {
       start = new StartTime(since, toStartMoment(since));
-      starts.put(host, start);
     }
-    return start.moment;
+    return start;
   }
 
   /**
--- a/src/main/java/flintlead/platform/upstream/ConnectionPool.java
+++ b/src/main/java/flintlead/platform/upstream/ConnectionPool.java
@@ -24,6 +24,9 @@
 
   private static final int MAX_QUEUED_REQUESTS = 2_000;
 
+  /** Small, as most of a large fleet's hosts have nothing queued. */
+  static final int INITIAL_QUEUE_CAPACITY = 1;
+
   /**
    * Fraction of the host's idle timeout after which this gateway closes an idle connection. If the
    * host closed it first, a request could be sent at the same moment and be lost.
@@ -41,7 +44,7 @@
   private final Address address;
   private final Moment startedAt;
   private final HostConnections connections = new HostConnections();
-  private final Deque<Request> queue = new ArrayDeque<>();
+  private final Deque<Request> queue = new ArrayDeque<>(INITIAL_QUEUE_CAPACITY);
   private final UnsettledRequests unsettled = new UnsettledRequests(this::endLater);
   private final HostLeaseRenewal renewal;
   private final HostListStatus listStatus = new HostListStatus();
--- a/src/main/java/flintlead/routing/admission/MemoryBudget.java
+++ b/src/main/java/flintlead/routing/admission/MemoryBudget.java
@@ -15,17 +15,40 @@
   /** Fraction of a heap of any size that remains for state. */
   private static final double MIN_STATE_FRACTION = 0.25;
 
-  private static final double SCHEDULER_FRACTION = 0.14;
-  private static final double INVOCATION_FRACTION = 0.15;
+  // Shares of the heap for state; their sum is 1.
+  private static final double HOST_FRACTION = 0.35;
+  private static final double CONNECTION_FRACTION = 0.18;
+  private static final double INVOCATION_FRACTION = 0.14;
+  private static final double SCHEDULER_FRACTION = 0.13;
   private static final double RECEIVED_FRACTION = 0.07;
   private static final double HOST_RESPONSE_FRACTION = 0.065;
   private static final double UNREAD_FRACTION = 0.065;
 
+  /** Heap of a listed host, in the scheduler, the leases and the connection pools. */
+  private static final int HOST_BYTES = 1_024;
+
+  /** Heap of a connection to a client or a host. */
+  private static final int CONNECTION_BYTES = 2_560;
+
   private long share(double fraction) {
     double state = Math.max(heapBytes - FIXED_BYTES, heapBytes * MIN_STATE_FRACTION);
     return (long) (state * fraction);
   }
 
+  /** Number of hosts that may be listed. */
+  public int hosts() {
+    return count(HOST_FRACTION, HOST_BYTES);
+  }
+
+  /** Number of connections to clients and hosts. */
+  public int connections() {
+    return count(CONNECTION_FRACTION, CONNECTION_BYTES);
+  }
+
+  private int count(double fraction, int bytesEach) {
+    return (int) Math.max(1, Math.min(Integer.MAX_VALUE, share(fraction) / bytesEach));
+  }
+
   /** Bytes of the invocations in progress, with their bodies. */
   public long invocationBytes() {
     return share(INVOCATION_FRACTION);
--- a/src/test/java/flintlead/golden/JournalWireTest.java
+++ b/src/test/java/flintlead/golden/JournalWireTest.java
@@ -40,6 +40,11 @@
       hosts.forEach(this::note);
     }
 
+    @Override
+    public void hostsIgnored(int count, int maxHosts) {
+      told.add("ignored " + count);
+    }
+
     private void note(HostEventProcessor.ListedHost listed) {
       HostEntry entry = listed.entry();
       told.add(
@@ -79,7 +84,11 @@
     Noted noted = new Noted();
     HostEventProcessor events =
         new HostEventProcessor(
-            List.of("z0", "z1"), List.of("k0", "k1"), millis -> new Moment(millis * 1_000), noted);
+            List.of("z0", "z1"),
+            List.of("k0", "k1"),
+            millis -> new Moment(millis * 1_000),
+            100,
+            noted);
     try (ServerSocketChannel service =
             RawLines.serve(
                 folder.resolve("j"),
--- a/src/test/java/flintlead/platform/EventRaceTest.java
+++ b/src/test/java/flintlead/platform/EventRaceTest.java
@@ -182,7 +182,7 @@
     FakeJournal other = fixture.anotherJournal();
     NettyEventLoop loop = new NettyEventLoop("tail");
     HostEventProcessor events =
-        new HostEventProcessor(List.of(), List.of(), Moment::new, new RecordingHostListener());
+        new HostEventProcessor(List.of(), List.of(), Moment::new, 100, new RecordingHostListener());
     JournalClient tail =
         new JournalClient(
             Address.parseTcp(fixture.journal.address()),
--- a/src/test/java/flintlead/platform/HostListRaceTest.java
+++ b/src/test/java/flintlead/platform/HostListRaceTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import flintlead.platform.journal.HostEventProcessor;
 import flintlead.platform.journal.JsonReader;
@@ -99,7 +100,7 @@
     RecordingHostListener recorder = new RecordingHostListener();
     long[] clock = {1_000};
     HostEventProcessor events =
-        new HostEventProcessor(List.of(), List.of(), ms -> new Moment(clock[0]++), recorder);
+        new HostEventProcessor(List.of(), List.of(), ms -> new Moment(clock[0]++), 100, recorder);
     String host =
         "{\"name\":\"s-1\",\"address\":\"127.0.0.1:1\",\"status\":\"active\",\"since_ms\":%d}";
     for (String event :
@@ -137,4 +138,37 @@
         .response()
         .status();
   }
+
+  /** A list of 3,200 hosts ended the process where the heap was small: the list has a limit. */
+  @Test
+  void hostsBeyondTheLimitAreIgnoredAndUsedOnceThereIsRoom() {
+    RecordingHostListener recorder = new RecordingHostListener();
+    HostEventProcessor events =
+        new HostEventProcessor(List.of(), List.of(), Moment::new, 2, recorder);
+    JsonReader json = new JsonReader();
+    apply(events, json, FakeJournal.event(1, true, listed("a", "active"), listed("b", "active")));
+    apply(events, json, FakeJournal.event(2, false, listed("c", "active")));
+    assertEquals(List.of("a", "b"), recorder.names());
+    assertEquals(1, recorder.ignored());
+    apply(events, json, FakeJournal.event(3, false, listed("b", "leaving"), listed("d", "active")));
+    assertEquals(List.of("a", "b", "b"), recorder.names());
+    apply(events, json, FakeJournal.event(4, false, listed("a", "left")));
+    apply(events, json, FakeJournal.event(5, false, listed("c", "active")));
+    assertEquals(List.of("a", "b", "b", "a", "c"), recorder.names());
+    apply(
+        events,
+        json,
+        FakeJournal.event(
+            6, true, listed("x", "active"), listed("y", "active"), listed("z", "active")));
+    assertEquals(7, recorder.received().size());
+    assertEquals(3, recorder.ignored());
+  }
+
+  private static String listed(String name, String status) {
+    return "{\"name\":\"" + name + "\",\"address\":\"127.0.0.1:1\",\"status\":\"" + status + "\"}";
+  }
+
+  private static void apply(HostEventProcessor events, JsonReader json, String event) {
+    assertTrue(events.apply(json.read(event.getBytes(StandardCharsets.UTF_8))));
+  }
 }
--- a/src/test/java/flintlead/platform/MemoryLimitTest.java
+++ b/src/test/java/flintlead/platform/MemoryLimitTest.java
@@ -1,5 +1,6 @@
 package flintlead.platform;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -23,6 +24,7 @@
 
   private static final int DESCRIPTORS = 1_024;
   private static final int SMALL_HEAP_MB = 16;
+  private static final int SMALLEST_HEAP_MB = 8;
   private static final String HEAD =
       "POST /call/00000000000000aa/fire HTTP/1.1\r\nHost: api\r\nX-Class: check\r\n";
 
@@ -149,4 +151,15 @@
     assertTrue(process.isAlive(), process.log.toString());
     assertTrue(answered > 1_000, "answered " + answered);
   }
+
+  /** A list of 3,200 hosts ended the process at its start where the heap was 8 MB. */
+  @Test
+  void aLargeFleetDoesNotExhaustTheSmallestHeap() throws Exception {
+    fixture = new PlatformFixture(1, DESCRIPTORS);
+    listHosts(3_200);
+    process = new PlatformProcess(fixture, folder, DESCRIPTORS, SMALLEST_HEAP_MB);
+    fixture.port = process.awaitPort();
+    await().until(() -> process.log.stream().anyMatch(line -> line.contains("hosts_ignored")));
+    assertServes(1, 50);
+  }
 }
--- a/src/test/java/flintlead/platform/RecordingHostListener.java
+++ b/src/test/java/flintlead/platform/RecordingHostListener.java
@@ -9,6 +9,8 @@
 
   private final List<HostEventProcessor.ListedHost> received = new CopyOnWriteArrayList<>();
 
+  private int ignored;
+
   List<HostEventProcessor.ListedHost> received() {
     return received;
   }
@@ -22,4 +24,19 @@
   public void hostsUpdated(List<HostEventProcessor.ListedHost> hosts) {
     received.addAll(hosts);
   }
+
+  @Override
+  public void hostsIgnored(int count, int maxHosts) {
+    ignored += count;
+  }
+
+  /** Names of the received hosts, in the order of the events. */
+  List<String> names() {
+    return received.stream().map(HostEventProcessor.ListedHost::name).toList();
+  }
+
+  /** Number of hosts that were ignored. */
+  int ignored() {
+    return ignored;
+  }
 }
