Bound what unfinished lines and unread responses of all clients keep in the library

Callers saw: a daemon with a heap of 64 MB served nobody while 200 clients held unfinished lines of 900 KB (4 of 20 pings answered, each of the others timed out).

Cause: a line was bounded to 1 MiB, their number by the connections only (1,024); unread responses to 32 MiB a client, their sum not at all; what the scheduler remembers was not derived from the memory.

Change: unfinished lines share a part of the heap, above it the line that began first is refused (-32001, retryInMs) and skipped, and its client goes on; unread responses share one too, and the connection that has had some for the longest time is closed. The daemon lowers its configured limits to what the heap holds.

ClientFrontTest.theOldestUnfinishedLineIsRefused... needs the new limit; before, nothing refused such a line.

--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import flintlead.membership.peer.ObservationStore;
 import flintlead.membership.peer.PeerGatewayAdapter;
 import flintlead.membership.peer.PeerService;
+import flintlead.routing.admission.MemoryBudget;
 import flintlead.routing.pool.PoolSnapshot;
 import flintlead.time.Span;
 import flintlead.transport.loop.Address;
@@ -46,6 +47,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
 
   private final DaemonConfig config;
+  private final MemoryLimits memory;
   private final Flintlead gateway;
   private final NettyEventLoop loop;
 
@@ -60,8 +62,9 @@
   /** Null where there is no control socket. */
   private Transport.ListeningSocket control;
 
-  private Daemon(DaemonConfig config, Flintlead gateway, NettyEventLoop loop) {
+  private Daemon(DaemonConfig config, MemoryLimits memory, Flintlead gateway, NettyEventLoop loop) {
     this.config = config;
+    this.memory = memory;
     this.gateway = gateway;
     this.loop = loop;
     this.disk =
@@ -81,16 +84,18 @@
   public static Daemon start(DaemonConfig config) throws IOException {
     String name = config.gateway().gatewayName();
     NettyEventLoop loop = new NettyEventLoop(name);
+    MemoryLimits memory = new MemoryLimits(new MemoryBudget(Runtime.getRuntime().maxMemory()));
     Flintlead.Builder builder =
         Flintlead.of(config.gateway())
-            .admissionLimits(config.admission())
+            .admissionLimits(memory.admission(config.admission()))
+            .stateLimits(memory.scheduler())
             .upstreamLimits(config.hostLimits())
             .runOn(loop);
     if (config.registry() != null) {
       builder.hostsFromRegistry(config.registry().watchIdleTimeout());
     }
     Flintlead gateway = (config.peers() == null ? builder : builder.withPeers()).start();
-    Daemon daemon = new Daemon(config, gateway, loop);
+    Daemon daemon = new Daemon(config, memory, gateway, loop);
     try {
       daemon.open();
     } catch (IOException e) {
@@ -125,7 +130,7 @@
       joinPeers();
     }
     for (Address address : config.listen()) {
-      addresses.add(ClientFront.open(gateway, address, config.clientLimits()));
+      addresses.add(ClientFront.open(gateway, address, memory.front(config.clientLimits())));
     }
   }
 
--- a/src/main/java/flintlead/gateway/CoreSchedulerContext.java
+++ b/src/main/java/flintlead/gateway/CoreSchedulerContext.java
@@ -1,6 +1,7 @@
 package flintlead.gateway;
 
 import flintlead.scheduling.api.SchedulerContext;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.time.Moment;
 import flintlead.time.Span;
@@ -17,11 +18,13 @@
   private final HostLeases leases;
   private final Logger log;
   private InvocationService invocations;
+  private final StateLimits limits;
   private AttemptDispatcher attempts;
   private HostCommands hosts;
   private InvocationHandler.PeerChannel peers;
 
-  CoreSchedulerContext(EventTimers timers, HostLeases leases, Logger log) {
+  CoreSchedulerContext(EventTimers timers, HostLeases leases, StateLimits limits, Logger log) {
+    this.limits = limits;
     this.timers = timers;
     this.leases = leases;
     this.log = log;
@@ -49,6 +52,11 @@
     return leases;
   }
 
+  @Override
+  public StateLimits stateLimits() {
+    return limits;
+  }
+
   @Override
   public Runnable schedule(Moment when, Runnable then) {
     return timers.at(when, then);
--- a/src/main/java/flintlead/gateway/Flintlead.java
+++ b/src/main/java/flintlead/gateway/Flintlead.java
@@ -8,6 +8,7 @@
 import flintlead.routing.pool.PoolSnapshot;
 import flintlead.scheduling.Scheduler;
 import flintlead.scheduling.api.SchedulingPolicyFactory;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.time.Moment;
 import flintlead.time.Span;
 import flintlead.transport.loop.EventExecutor;
@@ -40,6 +41,7 @@
     private final GatewayConfig config;
     private AdmissionController.Limits admissionLimits = AdmissionController.Limits.DEFAULTS;
     private UpstreamLimits upstreamLimits = UpstreamLimits.DEFAULTS;
+    private StateLimits stateLimits = StateLimits.DEFAULTS;
     private long seed = System.nanoTime();
     private EventExecutor loop;
     private Transport transport;
@@ -63,6 +65,12 @@
       return this;
     }
 
+    /** Limits of what the scheduler remembers. */
+    public Builder stateLimits(StateLimits limits) {
+      this.stateLimits = limits;
+      return this;
+    }
+
     /** The seed of all chance in this gateway; by default the time. */
     public Builder seed(long value) {
       this.seed = value;
@@ -157,6 +165,7 @@
                 transport,
                 builder.admissionLimits,
                 builder.upstreamLimits,
+                builder.stateLimits,
                 builder.seed,
                 log,
                 builder.schedulerFactory,
--- a/src/main/java/flintlead/gateway/GatewayCore.java
+++ b/src/main/java/flintlead/gateway/GatewayCore.java
@@ -13,6 +13,7 @@
 import flintlead.routing.pool.PoolRouter;
 import flintlead.scheduling.api.SchedulingPolicy;
 import flintlead.scheduling.api.SchedulingPolicyFactory;
+import flintlead.scheduling.api.StateLimits;
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.scheduling.lease.LeaseTerms;
 import flintlead.time.Span;
@@ -37,6 +38,7 @@
   /**
    * What a gateway runs on and with.
    *
+   * @param stateLimits limits of what the scheduler remembers
    * @param seed of all chance in the gateway
    * @param peers whether there are other gateways to gossip with
    * @param registrySilence how long the registry that the hosts come from may say nothing; null
@@ -47,6 +49,7 @@
       Transport transport,
       AdmissionController.Limits admission,
       UpstreamLimits upstream,
+      StateLimits stateLimits,
       long seed,
       Logger log,
       SchedulingPolicyFactory schedulerFactory,
@@ -84,7 +87,7 @@
     String tokenPrefix =
         config.gatewayName() + "-" + Long.toString(random.nextLong() >>> 1, BASE_36) + "-";
     HostLeases leases = hostLeases(environment);
-    this.context = new CoreSchedulerContext(timers, leases, log);
+    this.context = new CoreSchedulerContext(timers, leases, environment.stateLimits(), log);
     this.scheduler =
         environment
             .schedulerFactory()
--- a/src/main/java/flintlead/gateway/downstream/ClientConnection.java
+++ b/src/main/java/flintlead/gateway/downstream/ClientConnection.java
@@ -72,6 +72,22 @@
   @Override
   public void received(ByteBuf bytes) {
     decoder.feed(bytes, stream.alloc());
+    if (!closed) {
+      front.recordPartialLine(this, decoder.partialLineBytes());
+    }
+  }
+
+  /** Refuses the line that has not ended; the lines after it are read as usual. */
+  void refusePartialLine() {
+    decoder.skipPartialLine();
+    write(
+        MessageWriter.error(
+                stream.alloc().buffer(RESPONSE_BUFFER),
+                MessageId.NULL,
+                ResponseEncoder.THROTTLED,
+                "unfinished lines take too much of the gateway's memory")
+            .put("retryInMs", gateway.admission().retryAfter().micros() / 1000)
+            .finishLine());
   }
 
   @Override
@@ -86,6 +102,8 @@
       return;
     }
     closed = true;
+    front.recordPartialLine(this, 0);
+    front.recordUnread(this, 0);
     decoder.close();
     front.connectionClosed(this);
     front.limiter().remove(tracked);
@@ -260,6 +278,9 @@
   private void noteUnsent() {
     long unread = unreadBytes();
     gateway.admission().recordUnsent(source, unread, now());
+    if (!closed) {
+      front.recordUnread(this, unread);
+    }
     if (unread > 0) {
       front.scheduleReaderCheck();
     }
@@ -268,6 +289,14 @@
     }
   }
 
+  /** Closes the connection if bytes stay unsent when all have been handed to the kernel. */
+  void closeIfUnread() {
+    stream.flush();
+    if (!closed && unreadBytes() > 0) {
+      gateway.loop().scheduleAt(now(), this::abort);
+    }
+  }
+
   /** Looks after unread responses; returns whether there are any. */
   boolean checkReader() {
     noteUnsent();
--- a/src/main/java/flintlead/gateway/downstream/ClientFront.java
+++ b/src/main/java/flintlead/gateway/downstream/ClientFront.java
@@ -3,6 +3,7 @@
 import flintlead.gateway.Flintlead;
 import flintlead.gateway.InvocationHandler;
 import flintlead.routing.admission.ConnectionLimiter;
+import flintlead.routing.admission.SharedByteLimit;
 import flintlead.time.Span;
 import flintlead.transport.jsonrpc.MessageId;
 import flintlead.transport.jsonrpc.MessageReader;
@@ -30,6 +31,8 @@
   private final MessageReader reader = new MessageReader();
   private final ConnectionLimiter<ClientConnection> limiter;
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
+  private final SharedByteLimit<ClientConnection> partialLines;
+  private final SharedByteLimit<ClientConnection> unread;
   private Transport.ListeningSocket listening;
   private boolean readerCheckScheduled;
   private boolean closed;
@@ -38,6 +41,8 @@
     this.gateway = gateway;
     this.limits = limits;
     this.limiter = new ConnectionLimiter<>(limits.maxConnections(), limits.evictableAfterIdle());
+    this.partialLines = new SharedByteLimit<>(limits.partialLineBytes());
+    this.unread = new SharedByteLimit<>(limits.unreadBytes());
   }
 
   /**
@@ -104,6 +109,32 @@
     connections.remove(connection);
   }
 
+  /**
+   * Records the memory of a line that has not ended. Above the limit, the lines that began first
+   * are refused: usual clients send a line at once.
+   */
+  void recordPartialLine(ClientConnection connection, int bytes) {
+    partialLines.record(connection, bytes);
+    while (partialLines.isExceeded()) {
+      ClientConnection longest = partialLines.longestHolder();
+      partialLines.record(longest, 0);
+      longest.refusePartialLine();
+    }
+  }
+
+  /**
+   * Records the bytes of responses that a client has not read. Above the limit, the connections
+   * whose clients have left some unread for the longest time are closed.
+   */
+  void recordUnread(ClientConnection connection, long bytes) {
+    unread.record(connection, bytes);
+    while (unread.isExceeded()) {
+      ClientConnection longest = unread.longestHolder();
+      unread.record(longest, 0);
+      longest.closeIfUnread();
+    }
+  }
+
   /** Looks after connections whose clients leave responses unread, while there are any. */
   void scheduleReaderCheck() {
     if (!readerCheckScheduled) {
--- a/src/main/java/flintlead/transport/jsonrpc/LineDecoder.java
+++ b/src/main/java/flintlead/transport/jsonrpc/LineDecoder.java
@@ -134,6 +134,24 @@
     return buffered == null ? 0 : buffered.readableBytes();
   }
 
+  /**
+   * Bytes that the buffer of a line that has not ended occupies; 0 while paused, as the buffer then
+   * holds whole lines.
+   */
+  public int partialLineBytes() {
+    return buffered == null || paused ? 0 : buffered.capacity();
+  }
+
+  /** Releases what has been received of a line that has not ended, and skips the rest of it. */
+  public void skipPartialLine() {
+    if (buffered != null && !paused && !decodingBuffered) {
+      buffered.release();
+      buffered = null;
+      scanned = 0;
+      skipping = true;
+    }
+  }
+
   /** Releases the buffer; nothing more is decoded. May be called by the handler too. */
   public void close() {
     closed = true;
--- a/src/test/java/flintlead/daemon/ClientFrontTest.java
+++ b/src/test/java/flintlead/daemon/ClientFrontTest.java
@@ -416,4 +416,26 @@
     gateway.kill();
     loop.close();
   }
+
+  /**
+   * Unfinished lines of 200 clients took all memory of a daemon, and it served nobody. Above the
+   * limit the line that began first is refused; its client and all others are served.
+   */
+  @Test
+  void theOldestUnfinishedLineIsRefusedAtTheMemoryLimit() throws IOException {
+    FrontLimits limits = new FrontLimits(8, 1 << 20, Span.ZERO).withSharedBytes(1 << 20, 1 << 20);
+    start(AdmissionController.Limits.DEFAULTS, limits);
+    try (Raw first = new Raw();
+        Raw second = new Raw();
+        Raw usual = new Raw()) {
+      first.send("x".repeat(600_000));
+      second.send("x".repeat(600_000));
+      JsonNode refusal = first.read().path("error");
+      assertEquals(-32001, refusal.path("code").asInt(), refusal.toString());
+      assertTrue(refusal.path("message").asText().contains("unfinished"), refusal.toString());
+      assertEquals("7", usual.send(invoke("7", "f", "")).read().get("id").toString());
+      assertEquals("8", first.send("x\n" + invoke("8", "f", "")).read().get("id").toString());
+      assertEquals(-32700, second.send("\n").code());
+    }
+  }
 }
