Bound what unfinished messages of all hosts keep in the library

A host's message was bounded to 4 MiB and their number by the connections only (2,048). Found while accounting for all state. Now they share a part of the heap; above it the connection whose message began first fails, as at a message that is too long: what was in flight may have run. PartialMessagesTest and MemoryLimitsTest cover both bounds; before the change nothing bounded the sum.

--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -89,7 +89,7 @@
         Flintlead.of(config.gateway())
             .admissionLimits(memory.admission(config.admission()))
             .stateLimits(memory.scheduler())
-            .upstreamLimits(config.hostLimits())
+            .upstreamLimits(memory.upstream(config.hostLimits()))
             .runOn(loop);
     if (config.registry() != null) {
       builder.hostsFromRegistry(config.registry().watchIdleTimeout());
--- a/src/main/java/flintlead/daemon/MemoryLimits.java
+++ b/src/main/java/flintlead/daemon/MemoryLimits.java
@@ -1,6 +1,7 @@
 package flintlead.daemon;
 
 import flintlead.gateway.downstream.FrontLimits;
+import flintlead.gateway.upstream.UpstreamLimits;
 import flintlead.routing.admission.AdmissionController;
 import flintlead.routing.admission.MemoryBudget;
 import flintlead.scheduling.api.StateLimits;
@@ -38,6 +39,10 @@
     return configured.withSharedBytes(budget.receivedBytes(), budget.unreadBytes());
   }
 
+  UpstreamLimits upstream(UpstreamLimits configured) {
+    return configured.withPartialMessageBytes(budget.hostResponseBytes());
+  }
+
   StateLimits scheduler() {
     return StateLimits.fitting(budget.schedulerBytes());
   }
--- a/src/main/java/flintlead/gateway/GatewayCore.java
+++ b/src/main/java/flintlead/gateway/GatewayCore.java
@@ -17,8 +17,6 @@
 import flintlead.scheduling.lease.HostLeases;
 import flintlead.scheduling.lease.LeaseTerms;
 import flintlead.time.Span;
-import flintlead.transport.dial.ConnectionBudget;
-import flintlead.transport.jsonrpc.MessageReader;
 import flintlead.transport.loop.EventExecutor;
 import flintlead.transport.loop.Transport;
 import java.util.Random;
@@ -165,16 +163,11 @@
   }
 
   private UpstreamContext upstream(Environment environment, HostSendGuard guard, Random random) {
-    UpstreamLimits limits = environment.upstream();
-    ConnectionBudget budget =
-        new ConnectionBudget(limits.totalConnections(), limits.connectsPerSecond());
-    return new UpstreamContext(
+    return UpstreamContext.of(
         config.gatewayName(),
         environment.loop(),
         environment.transport(),
-        new MessageReader(),
-        limits,
-        budget,
+        environment.upstream(),
         links,
         guard,
         random,
--- a/src/main/java/flintlead/gateway/upstream/Connection.java
+++ b/src/main/java/flintlead/gateway/upstream/Connection.java
@@ -229,8 +229,7 @@
 
   private void closeGracefully() {
     boolean unacknowledged = ids.hasUnacknowledged();
-    state = state.to(ConnectionState.CLOSED);
-    decoder.close();
+    markClosed();
     if (unacknowledged) {
       // After a plain close the kernel still sends its buffer: a withdrawn request could arrive.
       stream.abort();
@@ -240,11 +239,16 @@
     listener.connectionClosed(this);
   }
 
+  private void markClosed() {
+    state = state.to(ConnectionState.CLOSED);
+    decoder.close();
+    context.recordPartialMessage(this, 0);
+  }
+
   /** Closes at once, without a call to the listener. */
   void abort() {
     if (state != ConnectionState.CLOSED) {
-      state = state.to(ConnectionState.CLOSED);
-      decoder.close();
+      markClosed();
       stream.abort();
     }
   }
@@ -256,12 +260,11 @@
     }
   }
 
-  private void fail(FailureKind kind, String reason) {
+  void fail(FailureKind kind, String reason) {
     if (state == ConnectionState.CLOSED) {
       return;
     }
-    state = state.to(ConnectionState.CLOSED);
-    decoder.close();
+    markClosed();
     stream.abort();
     List<Exchange> unanswered = new ArrayList<>(inFlight.values());
     inFlight.clear();
@@ -285,6 +288,7 @@
   @Override
   public void received(ByteBuf bytes) {
     decoder.feed(bytes, stream.alloc());
+    context.recordPartialMessage(this, decoder.partialLineBytes());
   }
 
   @Override
--- a/src/main/java/flintlead/gateway/upstream/UpstreamLimits.java
+++ b/src/main/java/flintlead/gateway/upstream/UpstreamLimits.java
@@ -20,6 +20,7 @@
  * @param writeStallTimeout how long {@code unsentBytes} may be reached before the connection fails,
  *     because the host does not read
  * @param idleTimeout how long a connection may be idle before it is closed
+ * @param partialMessageBytes bytes of messages that hosts have not ended yet, over all connections
  */
 public record UpstreamLimits(
     int connectionsPerHost,
@@ -31,7 +32,8 @@
     int frameBytes,
     Span connectTimeout,
     Span writeStallTimeout,
-    Span idleTimeout) {
+    Span idleTimeout,
+    long partialMessageBytes) {
 
   /** Default values, for limits that a configuration does not set. */
   public static final UpstreamLimits DEFAULTS =
@@ -47,6 +49,8 @@
           Span.ofMillis(3_000),
           Span.ofMillis(60_000));
 
+  private static final long DEFAULT_PARTIAL_MESSAGE_BYTES = 64L << 20;
+
   /** Throws IllegalArgumentException if any limit is not above zero. */
   public UpstreamLimits {
     if (connectionsPerHost < 1
@@ -62,4 +66,46 @@
       throw new IllegalArgumentException("every upstream limit must be above zero");
     }
   }
+
+  /** Limits with the usual bytes of unfinished messages. */
+  public UpstreamLimits(
+      int connectionsPerHost,
+      int totalConnections,
+      double connectsPerSecond,
+      int requestsPerConnection,
+      int pendingRequests,
+      long unsentBytes,
+      int frameBytes,
+      Span connectTimeout,
+      Span writeStallTimeout,
+      Span idleTimeout) {
+    this(
+        connectionsPerHost,
+        totalConnections,
+        connectsPerSecond,
+        requestsPerConnection,
+        pendingRequests,
+        unsentBytes,
+        frameBytes,
+        connectTimeout,
+        writeStallTimeout,
+        idleTimeout,
+        DEFAULT_PARTIAL_MESSAGE_BYTES);
+  }
+
+  /** The same limits with other bytes of unfinished messages. */
+  public UpstreamLimits withPartialMessageBytes(long bytes) {
+    return new UpstreamLimits(
+        connectionsPerHost,
+        totalConnections,
+        connectsPerSecond,
+        requestsPerConnection,
+        pendingRequests,
+        unsentBytes,
+        frameBytes,
+        connectTimeout,
+        writeStallTimeout,
+        idleTimeout,
+        bytes);
+  }
 }
--- a/src/main/java/flintlead/platform/upstream/ConnectionPool.java
+++ b/src/main/java/flintlead/platform/upstream/ConnectionPool.java
@@ -85,8 +85,8 @@
     return pools.loop();
   }
 
-  HostConnectionLimits limits() {
-    return pools.limits();
+  ConnectionPools pools() {
+    return pools;
   }
 
   Moment now() {
@@ -240,7 +240,7 @@
     connections.add(connection);
     pools.connectionAdded();
     connection.attach(pools.transport().connect(address, connection));
-    pools.loop().scheduleAfter(limits().connectTimeout(), connection::connectTimedOut);
+    pools.loop().scheduleAfter(pools.limits().connectTimeout(), connection::connectTimedOut);
     return true;
   }
 
@@ -266,14 +266,6 @@
     sendQueued();
   }
 
-  void recordPartialResponse(HostConnection connection, int bytes) {
-    pools.recordPartialResponse(connection, bytes);
-  }
-
-  void logMalformedResponse(String reason) {
-    pools.logMalformedResponse(hostName, reason);
-  }
-
   void closed(HostConnection connection, List<Request> unanswered, CloseReason reason) {
     connections.remove(connection);
     pools.connectionRemoved();
@@ -365,7 +357,9 @@
     queue.clear();
     queued.forEach(request -> endLater(request, Outcome.CONNECT_FAILED));
     connections.copy().forEach(HostConnection::drain);
-    loop().scheduleAfter(limits().drainGrace().times(DISCARD_FRACTION), () -> discard(drainNumber));
+    loop()
+        .scheduleAfter(
+            pools.limits().drainGrace().times(DISCARD_FRACTION), () -> discard(drainNumber));
   }
 
   private void discard(int drainNumber) {
@@ -391,7 +385,7 @@
       // Bytes that are still unsent would reach the host after its lease has ended.
       connections.discardUnsentBytes();
     }
-    connections.maintain(now, limits().hostIdleTimeout().times(IDLE_TIMEOUT_FRACTION));
+    connections.maintain(now, pools.limits().hostIdleTimeout().times(IDLE_TIMEOUT_FRACTION));
   }
 
   /** Closes connections that have no request in flight. */
--- a/src/main/java/flintlead/platform/upstream/HostConnection.java
+++ b/src/main/java/flintlead/platform/upstream/HostConnection.java
@@ -49,7 +49,7 @@
 
   HostConnection(ConnectionPool pool) {
     this.pool = pool;
-    this.parser = new HostResponseParser(pool.limits().maxResponseBytes(), this);
+    this.parser = new HostResponseParser(pool.pools().limits().maxResponseBytes(), this);
     this.lastUsedAt = pool.now();
     this.lastReceivedAt = lastUsedAt;
   }
@@ -83,7 +83,7 @@
         && !suspect
         && !draining
         && !parser.hasPartialResponse()
-        && inFlight.size() < pool.limits().maxRequestsPerConnection()
+        && inFlight.size() < pool.pools().limits().maxRequestsPerConnection()
         && stream.pendingBytes() == 0;
   }
 
@@ -187,7 +187,7 @@
     if (state != ConnectionState.CLOSED) {
       become(ConnectionState.CLOSED);
       parser.end();
-      pool.recordPartialResponse(this, 0);
+      pool.pools().recordPartialResponse(this, 0);
       stream.close();
       pool.closed(this, List.of(), CloseReason.CLOSED_LOCALLY);
     }
@@ -228,7 +228,7 @@
     }
     become(ConnectionState.CLOSED);
     parser.end();
-    pool.recordPartialResponse(this, 0);
+    pool.pools().recordPartialResponse(this, 0);
     stream.abort();
     List<Request> unanswered = new ArrayList<>(inFlight.values());
     inFlight.clear();
@@ -262,7 +262,7 @@
     if (state != ConnectionState.CLOSED) {
       pool.received();
     }
-    pool.recordPartialResponse(this, parser.heldBytes());
+    pool.pools().recordPartialResponse(this, parser.heldBytes());
   }
 
   @Override
@@ -301,7 +301,7 @@
 
   @Override
   public void malformed(String reason) {
-    pool.logMalformedResponse(reason);
+    pool.pools().logMalformedResponse(pool.hostName(), reason);
     end(CloseReason.MALFORMED_RESPONSE);
   }
 }
--- a/src/main/java/flintlead/platform/upstream/HostLeaseRenewal.java
+++ b/src/main/java/flintlead/platform/upstream/HostLeaseRenewal.java
@@ -125,7 +125,7 @@
     }
     Probe begun = new Probe("p" + Long.toString(probes++, TAG_RADIX));
     probe = begun;
-    pool.loop().scheduleAfter(pool.limits().connectTimeout(), () -> timeOut(begun));
+    pool.loop().scheduleAfter(pool.pools().limits().connectTimeout(), () -> timeOut(begun));
     pool.submit(begun);
   }
 
