--- a/src/main/java/flintlead/gateway/GatewayCore.java
+++ b/src/main/java/flintlead/gateway/GatewayCore.java
@@ -29,7 +29,8 @@
 final class GatewayCore implements InvocationService.Events {
 
   /** Function names remembered, to name numbers again and to notice two with one number. */
-  private static final int MAX_FUNCTION_NAMES = 65_536;
+  /** Names remembered for each function that the scheduler remembers: it keeps busy ones longer. */
+  private static final int NAMES_PER_FUNCTION = 2;
 
   private static final int BASE_36 = 36;
 
@@ -90,7 +91,9 @@
         environment
             .schedulerFactory()
             .create(context, config.deployment(environment.peers()), random.nextLong());
-    FunctionNames functions = new FunctionNames(MAX_FUNCTION_NAMES, NameHash::function);
+    FunctionNames functions =
+        new FunctionNames(
+            NAMES_PER_FUNCTION * environment.stateLimits().functions(), NameHash::function);
     this.invocations = invocationService(functions, new InvocationGuard(invariants), tokenPrefix);
     AttemptDispatcher attempts = new AttemptDispatcher(timers, invocations, links, counters);
     this.commands = new HostCommands(timers, links, functions, config.hosts(), scheduler, counters);
