Bound a registry's list by the memory, in keys and characters

A registry could make the daemon keep 100,000 keys with values of 64 KiB, and responses of 32 MiB, whatever its heap. Found while accounting for all state. Now the list has a share of the heap; a longer one is not applied, the list before it stays, and it is read again after a backoff, as with too many keys before. RegistryWatcherTest.aListOfTooManyCharactersIsNotApplied needs the new limit; on the code before nothing counted characters.

--- a/src/main/java/flintlead/daemon/Daemon.java
+++ b/src/main/java/flintlead/daemon/Daemon.java
@@ -163,7 +163,7 @@
           new RegistryDiscovery(
                   handler.loop(),
                   handler.transport(),
-                  config.registry(),
+                  config.registry().withListLimits(memory.registryList()),
                   new Random(),
                   System::currentTimeMillis,
                   file,
--- a/src/main/java/flintlead/daemon/MemoryLimits.java
+++ b/src/main/java/flintlead/daemon/MemoryLimits.java
@@ -1,5 +1,6 @@
 package flintlead.daemon;
 
+import flintlead.discovery.watch.ListLimits;
 import flintlead.gateway.downstream.FrontLimits;
 import flintlead.gateway.upstream.UpstreamLimits;
 import flintlead.routing.admission.AdmissionController;
@@ -15,6 +16,8 @@
   /** Clients that may be at the pause limit at once without one of them being disconnected. */
   private static final int PAUSED_CLIENTS = 4;
 
+  private static final int REGISTRY_CHARACTERS_PER_HOST = 256;
+
   private final MemoryBudget budget;
 
   MemoryLimits(MemoryBudget budget) {
@@ -43,6 +46,14 @@
     return configured.withPartialMessageBytes(budget.hostResponseBytes());
   }
 
+  /** A host of a registry has its text, and as much again as a host of the platform. */
+  ListLimits registryList() {
+    long hosts = budget.hosts();
+    return new ListLimits(
+        (int) Math.min(ListLimits.DEFAULTS.keys(), Math.max(1, hosts / 2)),
+        Math.min(ListLimits.DEFAULTS.characters(), hosts * REGISTRY_CHARACTERS_PER_HOST));
+  }
+
   StateLimits scheduler() {
     return StateLimits.fitting(budget.schedulerBytes());
   }
--- a/src/main/java/flintlead/discovery/registry/EtcdClient.java
+++ b/src/main/java/flintlead/discovery/registry/EtcdClient.java
@@ -136,7 +136,7 @@
   private final class WatchStream implements ResponseReader, LineDecoder.LineHandler {
 
     private final long attempt;
-    private final LineDecoder lines = new LineDecoder(MAX_BODY_BYTES, this);
+    private final LineDecoder lines = new LineDecoder(config().maxBodyBytes(), this);
 
     WatchStream(long attempt) {
       this.attempt = attempt;
--- a/src/main/java/flintlead/discovery/registry/RegistryClient.java
+++ b/src/main/java/flintlead/discovery/registry/RegistryClient.java
@@ -19,9 +19,8 @@
 abstract class RegistryClient {
 
   /** Largest response, or line of a streamed response, in bytes. */
-  static final int MAX_BODY_BYTES = 32 << 20;
-
   private static final int MAX_BODY_COMPONENTS = 1_024;
+
   private static final int OK = 200;
 
   private final EventExecutor loop;
@@ -170,8 +169,8 @@
       bytesReceived += part.readableBytes();
       if (status == OK && reader.part(part)) {
         startTimeout(attempt, config.watchIdleTimeout(), to);
-      } else if (collected.readableBytes() + part.readableBytes() > MAX_BODY_BYTES) {
-        fail(attempt, to + " answers with over " + MAX_BODY_BYTES + " bytes");
+      } else if (collected.readableBytes() + part.readableBytes() > config.maxBodyBytes()) {
+        fail(attempt, to + " answers with over " + config.maxBodyBytes() + " bytes");
       } else {
         collected.writeBytes(part);
       }
--- a/src/main/java/flintlead/discovery/registry/RegistryConfig.java
+++ b/src/main/java/flintlead/discovery/registry/RegistryConfig.java
@@ -1,5 +1,6 @@
 package flintlead.discovery.registry;
 
+import flintlead.discovery.watch.ListLimits;
 import flintlead.time.Span;
 import flintlead.transport.loop.Address;
 import java.util.List;
@@ -13,6 +14,8 @@
  * @param requestTimeout timeout of a full read's request
  * @param watchIdleTimeout how long a watch may be silent before it is taken for dead and opened
  *     again
+ * @param listLimits limits of the list of hosts; a response has at most as many bytes as the list
+ *     may have characters
  */
 public record RegistryConfig(
     Protocol protocol,
@@ -20,8 +23,10 @@
     String prefix,
     int pageSize,
     Span requestTimeout,
-    Span watchIdleTimeout) {
+    Span watchIdleTimeout,
+    ListLimits listLimits) {
 
+  private static final int MAX_BODY_BYTES = 32 << 20;
   private static final int DEFAULT_PAGE_SIZE = 500;
   private static final Span DEFAULT_REQUEST_TIMEOUT = Span.ofMillis(5_000);
 
@@ -52,6 +57,35 @@
     }
   }
 
+  /** A configuration with the default limits. */
+  public RegistryConfig(
+      Protocol protocol,
+      List<Address> endpoints,
+      String prefix,
+      int pageSize,
+      Span requestTimeout,
+      Span watchIdleTimeout) {
+    this(
+        protocol,
+        endpoints,
+        prefix,
+        pageSize,
+        requestTimeout,
+        watchIdleTimeout,
+        ListLimits.DEFAULTS);
+  }
+
+  /** The same configuration with other limits of the list. */
+  public RegistryConfig withListLimits(ListLimits limits) {
+    return new RegistryConfig(
+        protocol, endpoints, prefix, pageSize, requestTimeout, watchIdleTimeout, limits);
+  }
+
+  /** Maximum bytes of a response's body, or of one message of a watch. */
+  int maxBodyBytes() {
+    return (int) Math.min(MAX_BODY_BYTES, listLimits.characters());
+  }
+
   /** Returns a configuration with the default page size and timeouts. */
   public static RegistryConfig withDefaults(
       Protocol protocol, List<Address> endpoints, String prefix) {
--- a/src/main/java/flintlead/discovery/registry/RegistryDiscovery.java
+++ b/src/main/java/flintlead/discovery/registry/RegistryDiscovery.java
@@ -108,7 +108,7 @@
     this.snapshotFile = snapshotFile;
     this.context = context;
     this.observer = observer;
-    this.watcher = new RegistryWatcher(this, new Backoff(random));
+    this.watcher = new RegistryWatcher(this, new Backoff(random), config.listLimits());
     int firstEndpoint = random.nextInt(config.endpoints().size());
     this.client =
         switch (config.protocol()) {
--- a/src/main/java/flintlead/discovery/watch/AppliedState.java
+++ b/src/main/java/flintlead/discovery/watch/AppliedState.java
@@ -14,6 +14,9 @@
   private long revision;
   private TreeMap<String, String> keys = new TreeMap<>();
 
+  /** Characters of all keys and values. */
+  private long characters;
+
   String cluster() {
     return cluster;
   }
@@ -36,17 +39,17 @@
     cluster = newCluster;
     revision = newRevision;
     keys = new TreeMap<>(all);
+    characters = ListLimits.charactersOf(keys);
   }
 
   /** Applies the changes of one revision. */
   void apply(long newRevision, List<KeyChange> changes) {
     revision = newRevision;
     for (KeyChange change : changes) {
-      if (change.value() == null) {
-        keys.remove(change.key());
-      } else {
-        keys.put(change.key(), change.value());
-      }
+      boolean deleted = change.value() == null;
+      String before = deleted ? keys.remove(change.key()) : keys.put(change.key(), change.value());
+      characters -= before == null ? 0 : ListLimits.charactersOf(change.key(), before);
+      characters += deleted ? 0 : ListLimits.charactersOf(change.key(), change.value());
     }
   }
 
@@ -75,9 +78,16 @@
             });
     revision = newRevision;
     keys = all;
+    characters = ListLimits.charactersOf(keys);
     return changes;
   }
 
+  /** Returns whether the list stays within the limits if all these changes add to it. */
+  boolean hasRoomFor(List<KeyChange> changes, ListLimits limits) {
+    return limits.allow(
+        keys.size() + changes.size(), characters + ListLimits.charactersOf(changes));
+  }
+
   /** Returns a copy of the keys with their values. */
   Map<String, String> keys() {
     return new TreeMap<>(keys);
--- a/src/main/java/flintlead/discovery/watch/PagedRead.java
+++ b/src/main/java/flintlead/discovery/watch/PagedRead.java
@@ -13,11 +13,13 @@
   private String cluster;
 
   private final TreeMap<String, String> keys = new TreeMap<>();
+  private long characters;
 
   /** Forgets the pages; the revision is kept until the next read begins. */
   void clear() {
     cluster = null;
     keys.clear();
+    characters = 0;
   }
 
   /** Begins a read of the newest revision. */
@@ -35,6 +37,7 @@
   void add(String ofCluster, long ofRevision, List<KeyChange> entries) {
     revision = cluster == null ? ofRevision : revision;
     cluster = ofCluster;
+    characters += ListLimits.charactersOf(entries);
     entries.forEach(entry -> keys.put(entry.key(), entry.value()));
   }
 
@@ -42,6 +45,12 @@
     return revision;
   }
 
+  /** Returns whether the list stays within the limits with another page. */
+  boolean hasRoomFor(List<KeyChange> entries, ListLimits limits) {
+    return limits.allow(
+        keys.size() + entries.size(), characters + ListLimits.charactersOf(entries));
+  }
+
   int size() {
     return keys.size();
   }
--- a/src/main/java/flintlead/discovery/watch/RegistryWatcher.java
+++ b/src/main/java/flintlead/discovery/watch/RegistryWatcher.java
@@ -18,12 +18,6 @@
  */
 public final class RegistryWatcher {
 
-  /**
-   * Most keys of one full read, and most changes of one response; more are refused, as the prefix
-   * must be wrong.
-   */
-  public static final int MAX_KEYS = 100_000;
-
   /** What the current attempt does. */
   private enum Phase {
     /** Nothing is open; the backoff decides when the next attempt begins. */
@@ -48,6 +42,7 @@
 
   private final WatchActions actions;
   private final Backoff backoff;
+  private final ListLimits limits;
 
   private Phase phase = Phase.WAITING;
   private long attempt;
@@ -65,7 +60,8 @@
    * Creates a watcher that has not begun; {@link #start} or {@link #resume} sends the first
    * request.
    */
-  public RegistryWatcher(WatchActions actions, Backoff backoff) {
+  public RegistryWatcher(WatchActions actions, Backoff backoff, ListLimits limits) {
+    this.limits = limits;
     this.actions = actions;
     this.backoff = backoff;
   }
@@ -183,8 +179,8 @@
       retryLater(now, true);
     } else if (!pages.accepts(ofCluster)) {
       requireFullRead("the cluster changed between two pages", now);
-    } else if (pages.size() + entries.size() > MAX_KEYS) {
-      requireFullRead("more than " + MAX_KEYS + " keys under the prefix", now);
+    } else if (!pages.hasRoomFor(entries, limits)) {
+      requireFullRead("more than " + limits + " under the prefix", now);
     } else {
       pages.add(ofCluster, revision, entries);
       if (more && !entries.isEmpty()) {
@@ -282,8 +278,8 @@
       }
       pending.add(change);
     }
-    if (pending.size() > MAX_KEYS) {
-      requireFullRead("more than " + MAX_KEYS + " changes in one revision", now);
+    if (!state.hasRoomFor(pending.changes(), limits)) {
+      requireFullRead("with its changes the list may exceed " + limits, now);
     } else if (!fragment) {
       pending.drain().forEach(this::applyRevision);
       reportIfUpToDate(revision);
--- a/src/main/java/flintlead/discovery/watch/RevisionBuffer.java
+++ b/src/main/java/flintlead/discovery/watch/RevisionBuffer.java
@@ -16,8 +16,9 @@
     return changes.isEmpty();
   }
 
-  int size() {
-    return changes.size();
+  /** The buffered changes; a view. */
+  List<KeyChange> changes() {
+    return changes;
   }
 
   /** Returns the revision of the last change; the buffer must not be empty. */
--- a/src/main/java/flintlead/gateway/GatewayCore.java
+++ b/src/main/java/flintlead/gateway/GatewayCore.java
@@ -28,8 +28,10 @@
  */
 final class GatewayCore implements InvocationService.Events {
 
-  /** Function names remembered, to name numbers again and to notice two with one number. */
-  /** Names remembered for each function that the scheduler remembers: it keeps busy ones longer. */
+  /**
+   * Function names remembered, to name numbers again and to notice two with one number, for each
+   * function that the scheduler remembers; it keeps busy ones longer.
+   */
   private static final int NAMES_PER_FUNCTION = 2;
 
   private static final int BASE_36 = 36;
--- a/src/test/java/flintlead/discovery/watch/RegistryWatcherTest.java
+++ b/src/test/java/flintlead/discovery/watch/RegistryWatcherTest.java
@@ -88,7 +88,8 @@
   }
 
   private final RecordingActions actions = new RecordingActions();
-  private final RegistryWatcher watcher = new RegistryWatcher(actions, new Backoff(new Random(3)));
+  private final RegistryWatcher watcher =
+      new RegistryWatcher(actions, new Backoff(new Random(3)), ListLimits.DEFAULTS);
   private final Moment now = new Moment(1_000);
 
   private static KeyChange change(String key, String value, long revision) {
@@ -141,7 +142,7 @@
   void moreKeysThanTheBoundAreRejected() {
     watcher.start(now);
     List<KeyChange> many = new ArrayList<>();
-    for (int i = 0; i <= RegistryWatcher.MAX_KEYS; i++) {
+    for (int i = 0; i <= ListLimits.DEFAULTS.keys(); i++) {
       many.add(change("k" + i, "", 1));
     }
     watcher.onReadPage(actions.attempt, "c", 5, many, true, false, now);
@@ -208,4 +209,24 @@
     Span wait = backoff.recordFailure(at, false).since(at);
     assertTrue(wait.micros() <= 1_000_000, "a watch that goes on is not rationed");
   }
+
+  /** A registry's list was bounded in keys, but not in their values: it could fill the heap. */
+  @Test
+  void aListOfTooManyCharactersIsNotApplied() {
+    RegistryWatcher small =
+        new RegistryWatcher(actions, new Backoff(new Random(3)), new ListLimits(100, 50));
+    small.resume("c", 10, Map.of("a", "1"), now);
+    String value = "x".repeat(30);
+    small.onWatchEvents(actions.attempt, "c", 11, List.of(change("b", value, 11)), false, now);
+    assertEquals("apply 11 [b=" + value + "]", actions.applied.get(0));
+    small.onWatchEvents(actions.attempt, "c", 12, List.of(change("c", value, 12)), false, now);
+    assertEquals(11, small.appliedRevision());
+    small.wake(actions.wakeAt);
+    List<KeyChange> tooLong = List.of(change("b", value, 11), change("c", value, 12));
+    small.onReadPage(actions.attempt, "c", 12, tooLong, false, false, now);
+    assertEquals(11, small.appliedRevision());
+    small.wake(actions.wakeAt);
+    small.onReadPage(actions.attempt, "c", 13, List.of(change("d", "1", 13)), false, false, now);
+    assertEquals(13, small.appliedRevision());
+  }
 }
--- a/src/test/java/flintlead/discovery/watch/WatcherModel.java
+++ b/src/test/java/flintlead/discovery/watch/WatcherModel.java
@@ -38,7 +38,8 @@
   /** A response on its way, as a call of the watcher. */
   private record Response(String text, Runnable deliver) {}
 
-  final RegistryWatcher watcher = new RegistryWatcher(this, new Backoff(new Random(1)));
+  final RegistryWatcher watcher =
+      new RegistryWatcher(this, new Backoff(new Random(1)), ListLimits.DEFAULTS);
   Moment now = new Moment(1_000_000);
   private final RegistryModel registry = new RegistryModel();
   int commits;
