Library: a forgotten invocation cancels the timer at the end of its token's window

As on the platform (bodies of repeated requests kept until the window was over): the timer that recalls repeats at the end of the window held the invocation with its payload, after its answer, until then. It is cancelled when the invocation is forgotten. Found by reading for the same cause; without a test of its own.

--- a/src/main/java/flintlead/gateway/AttemptDispatcher.java
+++ b/src/main/java/flintlead/gateway/AttemptDispatcher.java
@@ -45,7 +45,9 @@
   private void recallWhenTokenExpires(PendingInvocation invocation) {
     Moment expiry = invocation.attempts().get(0).startedAt().plus(invocation.tokenWindow());
     // A copy: a connection that breaks may have the scheduler dispatch within this very event.
-    timers.at(expiry, () -> List.copyOf(invocation.attempts()).forEach(InvocationAttempt::recall));
+    invocation.cancelWhenForgotten(
+        timers.at(
+            expiry, () -> List.copyOf(invocation.attempts()).forEach(InvocationAttempt::recall)));
   }
 
   /** Withdraws the attempt if it is in progress. */
--- a/src/main/java/flintlead/gateway/InvocationService.java
+++ b/src/main/java/flintlead/gateway/InvocationService.java
@@ -234,6 +234,7 @@
     if ((invocation.handle() == null || invocation.handle().isFinished())
         && !responses.isPending(invocation.id())) {
       invocations.remove(invocation.id());
+      invocation.forgotten();
     }
   }
 
--- a/src/main/java/flintlead/gateway/PendingInvocation.java
+++ b/src/main/java/flintlead/gateway/PendingInvocation.java
@@ -25,6 +25,7 @@
   private final PoolAssignment poolAssignment;
   private final List<InvocationAttempt> attempts = new ArrayList<>(2);
   private InvocationHandle handle;
+  private Runnable cancelTimer = () -> {};
   private String lastFailure;
   private boolean abandoned;
 
@@ -111,6 +112,16 @@
     return attempts;
   }
 
+  /** Sets what cancels a timer of the invocation, which holds it with its payload. */
+  void cancelWhenForgotten(Runnable cancel) {
+    cancelTimer = cancel;
+  }
+
+  /** The invocation has ended with all its attempts, and nothing holds it any more. */
+  void forgotten() {
+    cancelTimer.run();
+  }
+
   /** The scheduler's handle; null until the scheduler has taken the invocation. */
   InvocationHandle handle() {
     return handle;
