Check the window of a keyed repeat where it is written, in both gateways

Cause: the window was checked when the scheduler chose the attempt, and by a timer; after a standstill the timer and the queue of the pool wait for the same poll, and the queue comes first. Change: the check before the write includes the end of the window; such an attempt ends as withdrawn, which is true, as nothing was written.

--- a/src/main/java/flintlead/gateway/AttemptDispatcher.java
+++ b/src/main/java/flintlead/gateway/AttemptDispatcher.java
@@ -43,11 +43,11 @@
    * arrives late would run the invocation a second time.
    */
   private void recallWhenTokenExpires(PendingInvocation invocation) {
-    Moment expiry = invocation.attempts().get(0).startedAt().plus(invocation.tokenWindow());
     // A copy: a connection that breaks may have the scheduler dispatch within this very event.
     invocation.cancelWhenForgotten(
         timers.at(
-            expiry, () -> List.copyOf(invocation.attempts()).forEach(InvocationAttempt::recall)));
+            invocation.tokenExpiry(),
+            () -> List.copyOf(invocation.attempts()).forEach(InvocationAttempt::recall)));
   }
 
   /** Withdraws the attempt if it is in progress. */
--- a/src/main/java/flintlead/gateway/InvocationAttempt.java
+++ b/src/main/java/flintlead/gateway/InvocationAttempt.java
@@ -119,7 +119,16 @@
   @Override
   protected SendVerdict maySend(Moment deliveredUpTo, Moment clock) {
     Moment seenAt = Moment.earlier(invocation.client().seenOpenAt(), deliveredUpTo);
-    return guard.maySend(invocation.record(), seenAt, abandonAt, clock);
+    return guard.maySend(invocation.record(), seenAt, sendBefore(), clock);
+  }
+
+  /**
+   * When the attempt must have been written. Hosts forget a token after its window: written later,
+   * a repeat could run the invocation a second time.
+   */
+  private Moment sendBefore() {
+    boolean repeatsToken = number > 0 && invocation.tokenWindow().micros() > 0;
+    return repeatsToken ? Moment.earlier(abandonAt, invocation.tokenExpiry()) : abandonAt;
   }
 
   @Override
--- a/src/main/java/flintlead/gateway/PendingInvocation.java
+++ b/src/main/java/flintlead/gateway/PendingInvocation.java
@@ -85,6 +85,11 @@
     return tokenWindow;
   }
 
+  /** When hosts forget the token; known once there is an attempt. */
+  Moment tokenExpiry() {
+    return attempts.get(0).startedAt().plus(tokenWindow);
+  }
+
   Moment deadline() {
     return record.deadline();
   }
--- a/src/main/java/flintlead/platform/AttemptRunner.java
+++ b/src/main/java/flintlead/platform/AttemptRunner.java
@@ -62,9 +62,10 @@
     attempt.addTimer(loop.scheduleAt(abandonAt, () -> withdraw(attempt, Outcome.TIMEOUT)));
     TriggerType type = deployment.triggerTypes().get(invocation.triggerType());
     if (previous != null && type.effect() == TriggerType.Effect.TOKENED) {
-      // Hosts forget the idempotency key after the window. A retry that is still queued by then
-      // must not be sent, as it could run the invocation a second time.
+      // A retry that is still queued when hosts forget the key ends then. The timer alone does not
+      // suffice: after a stall it is as late as what it is to prevent.
       Moment windowEnd = attempts.get(0).startedAt().plus(type.window());
+      attempt.setKeyExpiry(windowEnd);
       attempt.addTimer(loop.scheduleAt(windowEnd, attempt::withdrawIfQueued));
     }
     attempt.start();
--- a/src/main/java/flintlead/platform/HostAttempt.java
+++ b/src/main/java/flintlead/platform/HostAttempt.java
@@ -24,6 +24,9 @@
   private final Moment startedAt;
   private final Moment abandonAt;
 
+  /** The attempt must not be written at this time or later. */
+  private Moment sendBefore;
+
   /** Null if the host is not listed; then nothing is ever sent. */
   private final ConnectionPool pool;
 
@@ -57,6 +60,7 @@
     this.pool = pool;
     this.startedAt = startedAt;
     this.abandonAt = abandonAt;
+    this.sendBefore = abandonAt;
   }
 
   PendingInvocation invocation() {
@@ -96,6 +100,14 @@
     return true;
   }
 
+  /**
+   * Hosts forget the invocation's idempotency key at this time: written later, the attempt could
+   * run the invocation a second time. Checked when it is written, as it may wait until then.
+   */
+  void setKeyExpiry(Moment expiry) {
+    sendBefore = Moment.earlier(abandonAt, expiry);
+  }
+
   /** Adds what cancels a timer of the attempt; run when the attempt ends. */
   void addTimer(Runnable cancel) {
     timerCancellations.add(cancel);
@@ -129,7 +141,7 @@
   protected SendVerdict maySend(Moment deliveredUpTo, Moment clock) {
     return runner
         .guard()
-        .maySend(invocation.record(), stateKnownAt(deliveredUpTo), abandonAt, clock);
+        .maySend(invocation.record(), stateKnownAt(deliveredUpTo), sendBefore, clock);
   }
 
   @Override
