Fake hosts wait for their accepting thread before their port is bound again

A thread that sits in accept keeps the listening socket in the system until it has been interrupted, shortly after close has returned; the rig binds the port again at once. close now waits for that thread.

--- a/src/test/java/flintlead/platform/FakeHost.java
+++ b/src/test/java/flintlead/platform/FakeHost.java
@@ -56,6 +56,10 @@
   volatile boolean draining;
 
   private final ServerSocket server;
+
+  /** Null until connections are accepted. */
+  private volatile Thread acceptor;
+
   private final List<Socket> open = new CopyOnWriteArrayList<>();
 
   private FakeHost(String name, ServerSocket server) {
@@ -95,14 +99,15 @@
 
   /** Accepts connections from now on, including those that wait in the queue. */
   void accept() {
-    TestIo.inBackground(
-        () -> {
-          while (true) {
-            Socket socket = server.accept();
-            open.add(socket);
-            TestIo.inBackground(() -> serveUntilClosed(socket));
-          }
-        });
+    acceptor =
+        TestIo.inBackground(
+            () -> {
+              while (true) {
+                Socket socket = server.accept();
+                open.add(socket);
+                TestIo.inBackground(() -> serveUntilClosed(socket));
+              }
+            });
   }
 
   private void serveUntilClosed(Socket socket) throws IOException {
@@ -189,7 +194,11 @@
 
   @Override
   public void close() throws IOException {
-    server.close();
+    if (acceptor == null) {
+      server.close();
+    } else {
+      TestIo.close(server, acceptor);
+    }
     for (Socket socket : open) {
       reset(socket);
     }
--- a/src/test/java/flintlead/platform/FakeJournal.java
+++ b/src/test/java/flintlead/platform/FakeJournal.java
@@ -51,6 +51,7 @@
   private final List<Watch> watches = new CopyOnWriteArrayList<>();
   private final int port;
   private volatile ServerSocket server;
+  private volatile Thread acceptor;
   private volatile Outage outage = Outage.NONE;
   private volatile boolean closed;
 
@@ -68,17 +69,18 @@
   private void listen(int at) throws IOException {
     ServerSocket listening = TestIo.listen(at, BACKLOG);
     server = listening;
-    TestIo.inBackground(
-        () -> {
-          while (true) {
-            Socket socket = listening.accept();
-            if (outage == Outage.RESET) {
-              reset(socket);
-            } else {
-              TestIo.inBackground(() -> serve(socket));
-            }
-          }
-        });
+    acceptor =
+        TestIo.inBackground(
+            () -> {
+              while (true) {
+                Socket socket = listening.accept();
+                if (outage == Outage.RESET) {
+                  reset(socket);
+                } else {
+                  TestIo.inBackground(() -> serve(socket));
+                }
+              }
+            });
   }
 
   private void serve(Socket socket) throws IOException {
@@ -117,7 +119,7 @@
       outage = kind;
       switch (kind) {
         case REFUSED -> {
-          server.close();
+          TestIo.close(server, acceptor);
           breakConnections();
         }
         case RESET -> {
@@ -216,7 +218,7 @@
   @Override
   public void close() throws IOException {
     closed = true;
-    server.close();
+    TestIo.close(server, acceptor);
     breakConnections();
   }
 
--- a/src/test/java/flintlead/platform/TestIo.java
+++ b/src/test/java/flintlead/platform/TestIo.java
@@ -13,6 +13,7 @@
   private static final int MIN_PORT = 15_000;
   private static final int FIRST_OUTGOING_PORT = 32_768;
   private static final int MAX_ATTEMPTS = 100;
+  private static final long MAX_JOIN_MILLIS = 5_000;
 
   private TestIo() {}
 
@@ -24,8 +25,10 @@
   /**
    * Runs the task on a separate thread. An I/O error ends it silently, because the peer has closed
    * the connection or the test has ended.
+   *
+   * @return the thread
    */
-  static void inBackground(Task task) {
+  static Thread inBackground(Task task) {
     Thread thread =
         new Thread(
             () -> {
@@ -37,6 +40,20 @@
             });
     thread.setDaemon(true);
     thread.start();
+    return thread;
+  }
+
+  /**
+   * Closes the socket and waits until the thread that accepts from it has ended. While a call of
+   * accept is being interrupted, the system still counts the port as in use.
+   */
+  static void close(ServerSocket server, Thread acceptor) throws IOException {
+    server.close();
+    try {
+      acceptor.join(MAX_JOIN_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /**
