Review case 10: a keyed request runs again at another host behind a reset host's address

Cause: a connection that opens at the address counts as the sign that the host lives, so the request may go to the same host again; until the list names the successor, nothing says that another process answers there.

--- a/review/standins-2/Case10.java
+++ b/review/standins-2/Case10.java
@@ -1,109 +1,111 @@
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Map;
 
-/** A rollout is taken back by a second process while the first still runs; the first dies later. */
+/** The process of a host dies with a keyed request, and another host comes up at its address. */
 final class Case10 {
 
-  private static final int GATEWAYS = 3;
-  private static final List<Path> CONTROLS = new ArrayList<>();
+  private static final long WINDOW_MS = 2_000;
+  private static final int HOSTS = 12;
+  private static final int CELLS = 2;
+
+  /** So many hosts are followed by another at their address, one after the other. */
+  private static final int ROUNDS = 3;
+
+  /** How much later than the host itself the list tells of it. */
+  private static final long LIST_LAG_MS = 1_000;
+
+  private static final List<Host.TokenMemory> MEMORIES = new ArrayList<>();
+  private static Platform.Journal journal;
+
+  /** The host at which the round's lodge has run first; null before. */
+  private static Platform.LineHost victim;
+
+  private static int round;
 
   public static void main(String[] args) {
     Rig.main(args, Case10::play);
   }
 
-  private static JsonNode status(int gateway) throws Exception {
-    return Client.askOnce(CONTROLS.get(gateway), "status", Wire.JSON.createObjectNode()).path("change");
-  }
-
-  private static boolean is(int gateway, java.util.function.Predicate<JsonNode> condition) {
-    try {
-      return condition.test(status(gateway));
-    } catch (Exception e) {
-      return false;
+  /** The first request of the round has run: the process dies, or only its connections are reset. */
+  private static void ran(Platform.LineHost host, Runnable answer) throws Exception {
+    boolean first;
+    synchronized (Case10.class) {
+      first = victim == null;
+      victim = first ? host : victim;
+    }
+    if (!first) {
+      Rig.sleep(60);
+      answer.run();
+      return;
+    }
+    if (!Rig.TROUBLE) {
+      Rig.note("the connections of " + host.name + " are reset before its answer; it goes on");
+      host.resetAll();
+      return;
     }
+    int port = host.port();
+    int otherCell = (host.cell + 1) % CELLS;
+    host.die();
+    Platform.LineHost successor = atOnce(String.format("s-%08x", 0xf00 + round), otherCell, port);
+    Rig.note("the process of " + host.name + " (cell " + host.cell + ") has died before its answer; " + successor.name + " of cell "
+        + otherCell + " is up at its address");
+    Rig.sleep(LIST_LAG_MS);
+    journal.tell(host.endpoint("left", 0), successor.endpoint("active", System.currentTimeMillis() - LIST_LAG_MS));
+    Rig.note("the journal service tells of both");
   }
 
-  private static void noteStatus(String when) throws Exception {
-    for (int i = 0; i < GATEWAYS; i++) {
-      JsonNode status = status(i);
-      Rig.note(
-          when + ": gw-" + i + " is " + status.path("stage").asText() + ", in force " + status.path("now").asText()
-              + ", confirmed " + status.path("good").asText() + ", last: " + status.path("last").asText());
+  private static Platform.LineHost atOnce(String name, int cell, int port) throws Exception {
+    while (true) {
+      try {
+        return new Platform.LineHost(name, cell, MEMORIES.get(cell), port, Case10::ran);
+      } catch (java.net.BindException e) {
+        // The process before still holds the port.
+        Thread.sleep(1);
+      }
     }
   }
 
   private static int play() throws Exception {
-    Host.TokenMemory memory = new Host.TokenMemory(2_000);
-    Host w1 = new Host("w-1", 0, memory, 20).tcp();
-    Host w2 = new Host("w-2", 0, memory, 20).tcp();
-    Host w3 = new Host("w-3", 0, memory, 20).tcp();
-    Host added = new Host("n-1", 0, memory, 20).tcp();
-    String before = "hosts:\n" + w1.entry(null) + w2.entry(null) + w3.entry(null);
-    Path change = Rig.write("new.yaml", before + added.entry(null));
-    List<String> rollout = new ArrayList<>(List.of("rollout", change.toString(), "--record", record().toString()));
-    for (int i = 0; i < GATEWAYS; i++) {
-      Path control = Rig.folder.resolve("control-" + i + ".sock");
-      CONTROLS.add(control);
-      Path records = Files.createDirectory(Rig.folder.resolve("records-" + i));
-      Rig.daemon(
-          "gw-" + i,
-          Rig.common("gw-" + i, i, GATEWAYS, "2s", "1s")
-              + before
-              + "control: {listen: \"unix:" + control + "\", records: \"" + records
-              + "\", step: 0.25, settle: 2s, watch: 10s, dead: 1s, worse: 0.02}\n");
-      rollout.addAll(List.of("--at", "unix:" + control));
+    for (int cell = 0; cell < CELLS; cell++) {
+      MEMORIES.add(new Host.TokenMemory(WINDOW_MS));
     }
-    String old = status(0).path("good").asText();
-    noteStatus("before");
-
-    Process first = Rig.start("rollout", rollout.toArray(new String[0]));
-    Rig.await("gw-0 has confirmed the change", 40_000, () -> is(0, s -> !s.path("good").asText().equals(old)));
-    Rig.note("gw-0 has confirmed the change; the operator takes the rollout back");
-    if (!Rig.TROUBLE) {
-      first.destroyForcibly().waitFor();
-      Rig.note("the first process has died");
-    }
-    Process undo = Rig.start("undo", "rollout", "--undo", "--record", record().toString());
-    if (Rig.TROUBLE) {
-      // The first process is still there; it dies once it has told the next gateway.
-      Rig.happens(30_000, () -> is(1, s -> !s.path("stage").asText().equals("steady")) || !undo.isAlive());
-      first.destroyForcibly().waitFor();
-      Rig.note("the first process has died");
-    }
-    if (!undo.waitFor(60, TimeUnit.SECONDS)) {
-      Rig.note("the undo has not ended in 60 s");
-      return Rig.COULD_NOT_RUN;
+    List<String> endpoints = new ArrayList<>();
+    for (int i = 0; i < HOSTS; i++) {
+      int cell = i % CELLS;
+      Platform.LineHost host =
+          new Platform.LineHost(String.format("s-%08x", 0xa00 + i), cell, MEMORIES.get(cell), 0, Case10::ran);
+      endpoints.add(host.endpoint("active", 0));
     }
-    int code = undo.exitValue();
-    double ended = Rig.nowMs();
-    Rig.note("the undo ended with exit code " + code);
-    noteStatus("at the undo's end");
-    Rig.sleep(12_000);
-    noteStatus("12 s later");
-
-    // What clients and hosts see: the host that only the change names still gets work.
-    for (int i = 0; i < GATEWAYS; i++) {
-      try (Client client = new Client(Rig.folder.resolve("gw-" + i + ".sock"), true)) {
-        for (int each = 0; each < 30; each++) {
-          client.invoke("grade-" + i + "-" + each, "check", null, false).get(5, TimeUnit.SECONDS);
-        }
+    journal = new Platform.Journal(endpoints);
+    int port = Rig.freePort();
+    Platform.gateway("n1", port, journal);
+    Rig.sleep(1_500);
+    for (round = 0; round < ROUNDS; round++) {
+      synchronized (Case10.class) {
+        victim = null;
       }
+      String id = String.format("9b1f03aa5c7e2d4%x", round);
+      Rig.note("a client sends a lodge with a key; X-Ttl-Ms 3000");
+      int status =
+          Platform.invoke(port, String.format("7f3a9c21e0b4d65%x", round), "lodge", id, "5c0f6e1a2b3d4c59a8b7c6d5e4f3021" + round, 3_000);
+      Rig.note("it is answered " + status);
+      Rig.sleep(3_000);
     }
-    long strayed = Host.ARRIVALS.stream().filter(each -> each.host().equals("n-1") && each.atMs() > ended).count();
     Host.noteArrivals();
-    Rig.note("the undo's output:\n" + Files.readString(Rig.folder.resolve("undo.log")));
-    Rig.note("the rollout's output:\n" + Files.readString(Rig.folder.resolve("rollout.log")));
-    Rig.note(strayed + " invocations ran at n-1 after the undo's end");
-    boolean broken = code == 0 && strayed > 0;
-    return broken ? Rig.BROKEN : code != 0 ? Rig.COULD_NOT_RUN : Rig.HELD;
-  }
-
-  private static Path record() throws Exception {
-    return Files.createDirectories(Rig.folder.resolve("record"));
+    Map<String, List<Host.Arrival>> ran = new HashMap<>();
+    for (Host.Arrival each : Host.ARRIVALS) {
+      if (each.fate().equals("ran")) {
+        ran.computeIfAbsent(each.token(), token -> new ArrayList<>()).add(each);
+      }
+    }
+    if (ran.isEmpty()) {
+      return Rig.COULD_NOT_RUN;
+    }
+    long twice =
+        ran.values().stream().filter(runs -> runs.size() > 1 && runs.get(1).atMs() - runs.get(0).atMs() < WINDOW_MS).count();
+    Rig.note(twice + " of " + ran.size() + " lodges took effect twice, in two cells");
+    return twice > 0 ? Rig.BROKEN : Rig.HELD;
   }
 }
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 
 /** What every case needs: the record, processes that end with the case, waiting, and the verdict. */
@@ -74,17 +75,22 @@
   static Process start(String name, String... arguments) throws IOException {
     List<String> command = new ArrayList<>(List.of("java", "-jar", "target/flintlead.jar"));
     command.addAll(List.of(arguments));
+    return startCommand(name, command, Map.of("FLINTLEAD_LOG", "INFO"));
+  }
+
+  /** Starts a command in the project's root; its output goes to a file of the temporary folder. */
+  static Process startCommand(String name, List<String> command, Map<String, String> environment) throws IOException {
     ProcessBuilder builder =
         new ProcessBuilder(command)
             .directory(root.toFile())
             .redirectErrorStream(true)
             .redirectOutput(folder.resolve(name + ".log").toFile());
-    builder.environment().put("FLINTLEAD_LOG", "INFO");
+    builder.environment().putAll(environment);
     Process process = builder.start();
     synchronized (PROCESSES) {
       PROCESSES.add(process);
     }
-    note("started " + name + " (" + String.join(" ", arguments) + ")");
+    note("started " + name + " (" + String.join(" ", command) + ")");
     return process;
   }
 
