--- a/review/standins-2/Host.java
+++ b/review/standins-2/Host.java
@@ -3,11 +3,8 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.StandardProtocolFamily;
-import java.net.UnixDomainSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,8 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * A sound host by "The protocol of hosts" of docs/protocol.md, with every function loaded. It can
- * stand still, and it can drain.
+ * A sound host by "The protocol of hosts" of docs/protocol.md, with every function loaded.
  */
 final class Host {
 
@@ -58,12 +54,6 @@
   private final Set<Wire> connections = ConcurrentHashMap.newKeySet();
   private final List<ServerSocketChannel> listening = new CopyOnWriteArrayList<>();
 
-  /** It reads nothing and answers nothing while this is true. */
-  volatile boolean still;
-
-  /** Since when it drains, in the case's milliseconds; negative while it does not. */
-  volatile double drainsSince = -1;
-
   Host(String name, int cell, TokenMemory memory, long workMs) {
     this.name = name;
     this.cell = cell;
@@ -80,16 +70,6 @@
     return this;
   }
 
-  /** Listens at a Unix socket of the temporary folder. */
-  Host unix() throws IOException {
-    Path path = Rig.folder.resolve(name + "-" + addresses.size() + ".sock");
-    ServerSocketChannel open = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
-    open.bind(UnixDomainSocketAddress.of(path));
-    addresses.add("unix:" + path);
-    accept(open);
-    return this;
-  }
-
   /** Its entry in a list of hosts. */
   String entry(String state) {
     return entry(state, cell);
@@ -134,9 +114,6 @@
     connections.add(wire);
     try {
       for (JsonNode message = wire.read(); message != null; message = wire.read()) {
-        while (still) {
-          Thread.sleep(1);
-        }
         handle(wire, message);
       }
     } finally {
@@ -145,15 +122,6 @@
     }
   }
 
-  /** It drains from now on, and tells every gateway that is connected. */
-  void drain() throws IOException {
-    drainsSince = Rig.nowMs();
-    ObjectNode notice = Wire.JSON.createObjectNode().put("jsonrpc", "2.0").put("method", "draining");
-    for (Wire wire : connections) {
-      wire.write(notice);
-    }
-  }
-
   /** Its process ends: nothing listens any more, and its connections break. */
   void crash() throws IOException {
     for (ServerSocketChannel each : listening) {
@@ -162,11 +130,6 @@
     connections.forEach(Wire::close);
   }
 
-  /** How many connections it has. */
-  int connections() {
-    return connections.size();
-  }
-
   private void handle(Wire wire, JsonNode message) throws Exception {
     JsonNode id = message.path("id");
     JsonNode params = message.path("params");
@@ -177,20 +140,9 @@
                   // Past its warm-up: it has run for long.
                   .put("ageMs", 3_600_000 + System.currentTimeMillis() - startedAt)));
       case "run" -> run(wire, id, params);
-      case "load" -> {
-        if (drainsSince >= 0) {
-          wire.write(error(id, -32012, "draining"));
-        } else {
+      case "load" ->
           wire.write(answer(id, Wire.JSON.createObjectNode().put("copies", params.path("copies").asInt())));
-        }
-      }
-      case "probe" -> {
-        if (drainsSince >= 0) {
-          wire.write(error(id, -32012, "draining"));
-        } else {
-          wire.write(answer(id, Wire.JSON.createObjectNode().put("waiting", 0)));
-        }
-      }
+      case "probe" -> wire.write(answer(id, Wire.JSON.createObjectNode().put("waiting", 0)));
       case "cancel" -> { }
       default -> wire.write(answer(id, Wire.JSON.createObjectNode()));
     }
@@ -199,14 +151,9 @@
   private void run(Wire wire, JsonNode id, JsonNode params) throws Exception {
     String token = params.path("token").asText(null);
     String type = params.path("triggerType").asText();
-    boolean refused = drainsSince >= 0;
-    boolean repeat = !refused && type.equals("lodge") && !memory.isNew(token);
-    String fate = refused ? "refused" : repeat ? "repeat" : "ran";
+    boolean repeat = type.equals("lodge") && !memory.isNew(token);
+    String fate = repeat ? "repeat" : "ran";
     ARRIVALS.add(new Arrival(Rig.nowMs(), name, params.path("function").asText(), type, token, fate));
-    if (refused) {
-      wire.write(error(id, -32012, "draining"));
-      return;
-    }
     daemon(
         () -> {
           Thread.sleep(repeat ? 0 : workMs);
@@ -223,13 +170,6 @@
     return answer;
   }
 
-  private static ObjectNode error(JsonNode id, int code, String message) {
-    ObjectNode answer = Wire.JSON.createObjectNode().put("jsonrpc", "2.0");
-    answer.set("id", id);
-    answer.set("error", Wire.JSON.createObjectNode().put("code", code).put("message", message));
-    return answer;
-  }
-
   /** Writes all runs into the record. */
   static void noteArrivals() {
     for (Arrival each : ARRIVALS) {
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -12,9 +12,11 @@
 /** What every case needs: the record, processes that end with the case, waiting, and the verdict. */
 final class Rig {
 
-  static final int HELD = 0;
-  static final int BROKEN = 1;
-  static final int COULD_NOT_RUN = 2;
+  /** Exit codes of the driver; a JVM that does not start ends with none of them. */
+  static final int HELD = 11;
+
+  static final int BROKEN = 10;
+  static final int COULD_NOT_RUN = 12;
 
   /** Whether the case plays its disruption. */
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
