--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -nowarn -d target/review-2 -cp "target/flintlead.jar:target/lib/*" review/standins-2/*.java
+javac -J-XX:-UsePerfData -nowarn -d target/review-2 -cp "target/flintlead.jar:target/lib/*" review/standins-2/*.java
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -21,6 +21,7 @@
   /** Whether the case plays its disruption. */
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+  private static final long MOST_MS = 110_000;
   private static final long BEGAN = System.nanoTime();
   private static final List<Process> PROCESSES = new ArrayList<>();
   private static PrintWriter record;
@@ -45,6 +46,7 @@
       folder = Path.of(args[1]);
       root = Path.of(args[2]);
       Runtime.getRuntime().addShutdownHook(new Thread(Rig::endAll));
+      Host.daemon(Rig::endInTime);
       note("trouble " + (TROUBLE ? "on" : "off"));
       verdict = body.run();
     } catch (Throwable e) {
@@ -58,6 +60,14 @@
     Runtime.getRuntime().halt(verdict);
   }
 
+  /** No case takes longer than this; one that hangs could not run. */
+  private static void endInTime() throws InterruptedException {
+    Thread.sleep(MOST_MS);
+    note("could not run: not done in " + MOST_MS + " ms");
+    endAll();
+    Runtime.getRuntime().halt(COULD_NOT_RUN);
+  }
+
   /** Milliseconds since the case began. */
   static double nowMs() {
     return (System.nanoTime() - BEGAN) / 1e6;
@@ -75,7 +85,7 @@
 
   /** Starts a program of the project; its output goes to a file of the temporary folder. */
   static Process start(String name, String... arguments) throws IOException {
-    List<String> command = new ArrayList<>(List.of("java", "-jar", "target/flintlead.jar"));
+    List<String> command = new ArrayList<>(List.of("java", "-XX:-UsePerfData", "-Djava.io.tmpdir=" + folder, "-jar", "target/flintlead.jar"));
     command.addAll(List.of(arguments));
     return startCommand(name, command, Map.of("FLINTLEAD_LOG", "INFO"));
   }
